Whole path, thin: nodes, stand-ins and operator's command as processes

A request goes from a caller through any node to the node beside a backend server, which runs it and returns the whole answer. Tables and the VM list are read by two nodes a data centre and spread by deltas.

Not there yet: the limiter counts on each node alone, so an organisation gets its rate once a node; at most once is not claimed across nodes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+MODULES := wire apricotd apricotctl standin
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+.PHONY: build demo test check generate
+
+build:
+	go build -o bin/ ./apricotd ./apricotctl ./standin
+
+demo: build
+	./bin/standin demo --bin bin
+
+test:
+	go test -count=1 $(PACKAGES)
+
+check:
+	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "gofmt: files above are not formatted"; exit 1; }
+	go vet $(PACKAGES)
+	cd standin && go tool staticcheck $(addprefix ../,$(addsuffix /...,$(MODULES)))
+
+generate:
+	cd wire && buf generate
--- /dev/null
+++ b/apricotctl/main.go
@@ -0,0 +1,39 @@
+// Command apricotctl is the operator's command. It checks tables before they
+// are published and shows what running nodes tell of themselves; it changes
+// nothing.
+//
+// Usage:
+//
+//	apricotctl check routes.toml pools.toml [organisations.toml]
+//	apricotctl status --node 10.0.0.7:7004 [--node ...] [--json]
+//	apricotctl audit --node 10.0.0.7:7004 [--count N] [--json]
+//	apricotctl follow --version 12 --node 10.0.0.7:7004 [--node ...]
+//	apricotctl certificates --out DIR VM...
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+const exitFailure = 1
+
+type options struct {
+	Check        checkCommand        `command:"check" description:"check tables with the nodes' own checker"`
+	Status       statusCommand       `command:"status" description:"show what nodes tell of themselves"`
+	Audit        auditCommand        `command:"audit" description:"show the nodes' audit trails"`
+	Follow       followCommand       `command:"follow" description:"wait until a version of the tables is in force on all nodes"`
+	Certificates certificatesCommand `command:"certificates" description:"make an authority and certificates for VMs"`
+}
+
+func main() {
+	if _, err := flags.NewParser(&options{}, flags.Default).Parse(); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitFailure)
+	}
+}
--- /dev/null
+++ b/apricotd/internal/process/node/node.go
@@ -0,0 +1,278 @@
+// Package node joins the parts of one node and runs them.
+//
+// It guarantees the order of start and stop: a node serves callers only once
+// it holds tables that peers have had the chance to correct, and at a graceful
+// stop it begins nothing new, finishes what runs, and only then closes.
+//
+// # Usage
+//
+//	n := &node.Node{Settings: s, Log: log, Version: version}
+//	err := n.Run(ctx) // ctx ends with SIGTERM
+//
+// Tests set Listen and Dial to run whole nodes over connections in memory.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/internal/connection/dispatcher"
+	"apricotrudder.dev/apricotd/internal/connection/forwarder"
+	"apricotrudder.dev/apricotd/internal/process/admitter"
+	"apricotrudder.dev/apricotd/internal/process/auditor"
+	"apricotrudder.dev/apricotd/internal/process/balancer"
+	"apricotrudder.dev/apricotd/internal/process/limiter"
+	"apricotrudder.dev/apricotd/internal/process/loader"
+	"apricotrudder.dev/apricotd/internal/process/prober"
+	"apricotrudder.dev/apricotd/internal/process/spreader"
+	"apricotrudder.dev/apricotd/internal/process/tracker"
+	"apricotrudder.dev/apricotd/internal/request/executor"
+	"apricotrudder.dev/apricotd/internal/request/router"
+	"apricotrudder.dev/apricotd/version/checker"
+	"apricotrudder.dev/apricotd/version/locator"
+)
+
+const (
+	// refusingFor is how long a stopping node still answers new requests with
+	// a refusal, so that callers with open connections learn of the stop.
+	refusingFor   = 500 * time.Millisecond
+	drainInterval = 20 * time.Millisecond
+)
+
+type (
+	// A Node is one process beside one backend server. Its exported fields
+	// must be set before Run.
+	Node struct {
+		Settings *loader.Settings
+		Log      logrus.FieldLogger
+		Version  string
+		// TLS authenticates this node and its peers; nil means plain HTTP/2.
+		TLS *tls.Config
+		// Platform overrides the platform of the settings.
+		Platform spreader.Platform
+		// Listen opens listeners; nil means TCP.
+		Listen func(address netip.AddrPort) (net.Listener, error)
+		// Dial opens connections; nil means TCP.
+		Dial forwarder.Dialer
+
+		process    string // random; differs after every start
+		audit      *auditor.Auditor
+		metrics    *metrics.Set
+		view       atomic.Pointer[router.View]
+		list       atomic.Pointer[locator.List]
+		leaving    atomic.Bool
+		stopped    context.Context // ends when streams to peers must end
+		forwarder  *forwarder.Forwarder
+		dispatcher *dispatcher.Dispatcher
+		admitter   *admitter.Admitter
+		tracker    *tracker.Tracker
+		prober     *prober.Prober
+		spreader   *spreader.Spreader
+		router     *router.Router
+		executor   *executor.Executor
+		servers    servers
+	}
+)
+
+// Run serves until the context ends and then stops gracefully. It returns nil
+// after a graceful stop.
+func (n *Node) Run(ctx context.Context) error {
+	if n.Settings == nil || n.Log == nil {
+		return errors.New("run node: got no settings or no log, want both")
+	}
+	n.build()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	n.stopped = background
+	if err := n.open(); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.spreader.Run(background) })
+	wg.Go(func() { n.prober.Run(background) })
+	failed := n.serve()
+	n.Log.WithField("vm", n.Settings.VM).Info("node started")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	n.drain()
+	stop()
+	n.close()
+	wg.Wait()
+	n.Log.WithField("vm", n.Settings.VM).Info("node stopped")
+	return err
+}
+
+func (n *Node) build() {
+	s := n.Settings
+	n.process = rand.Text()
+	n.metrics = metrics.NewSet()
+	n.audit = &auditor.Auditor{Log: n.Log}
+	n.tracker = &tracker.Tracker{}
+	n.admitter = &admitter.Admitter{}
+	n.forwarder = &forwarder.Forwarder{TLS: n.TLS, Dial: n.Dial, Locate: n.locate}
+	n.forwarder.Start()
+	n.dispatcher = &dispatcher.Dispatcher{Address: s.Backend.Address, Dial: n.Dial}
+	n.dispatcher.Start()
+	n.prober = &prober.Prober{
+		Dispatcher: n.dispatcher,
+		Admitter:   n.admitter,
+		Audit:      n.audit,
+		Interval:   time.Duration(s.Backend.ProbeInterval),
+		Pool:       n.pool,
+	}
+	n.buildSpreader()
+	n.buildRequestPath()
+	n.registerMetrics()
+}
+
+func (n *Node) buildSpreader() {
+	s := n.Settings
+	if n.Platform == nil {
+		p := &spreader.HTTPPlatform{Addresses: s.Platform.Addresses, Timeout: time.Duration(s.Platform.Timeout), Dial: n.Dial}
+		p.Start()
+		n.Platform = p
+	}
+	n.spreader = &spreader.Spreader{
+		Self: locator.VM{
+			ID:         s.VM,
+			Region:     s.Region,
+			DataCentre: s.DataCentre,
+			Pool:       s.Pool,
+			Address:    s.Listen.Peers,
+			State:      locator.Live,
+		},
+		Platform: n.Platform,
+		Peer:     n.forwarder.Peer,
+		Audit:    n.audit,
+		Metrics:  n.metrics,
+		OnConfig: n.setConfig,
+		OnList:   n.setList,
+	}
+}
+
+func (n *Node) buildRequestPath() {
+	s := n.Settings
+	n.executor = &executor.Executor{
+		VM:          s.VM,
+		Pool:        s.Pool,
+		View:        n.view.Load,
+		Current:     n.spreader.Current,
+		Admitter:    n.admitter,
+		Tracker:     n.tracker,
+		Dispatcher:  n.dispatcher,
+		IsLeaving:   n.isLeaving,
+		BackendDown: n.prober.IsDown,
+	}
+	n.router = &router.Router{
+		View:      n.view.Load,
+		Current:   n.spreader.Current,
+		Limiter:   &limiter.Limiter{},
+		Balancer:  &balancer.Balancer{DataCentre: s.DataCentre, Region: s.Region},
+		Budget:    &router.Budget{},
+		Tracker:   n.tracker,
+		Sender:    &sender{node: n},
+		Audit:     n.audit,
+		Metrics:   n.metrics,
+		IsLeaving: n.leaving.Load,
+	}
+}
+
+func (n *Node) setConfig(cfg *checker.Config) {
+	n.view.Store(router.NewView(cfg))
+	if pool := cfg.Pools[n.Settings.Pool]; pool != nil {
+		n.admitter.SetQueueWait(time.Duration(pool.QueueWait))
+	}
+}
+
+func (n *Node) setList(list *locator.List) {
+	n.list.Store(list)
+	n.router.Balancer.SetList(list)
+	n.forwarder.Forget(func(id string) bool {
+		_, ok := list.VM(id)
+		return ok
+	})
+}
+
+func (n *Node) pool() *checker.Pool {
+	v := n.view.Load()
+	if v == nil {
+		return nil
+	}
+	return v.Config.Pools[n.Settings.Pool]
+}
+
+func (n *Node) locate(id string) (netip.AddrPort, bool) {
+	list := n.list.Load()
+	if list == nil {
+		return netip.AddrPort{}, false
+	}
+	vm, ok := list.VM(id)
+	return vm.Address, ok
+}
+
+// isLeaving tells whether the backend server may begin nothing new: because
+// this node is stopping, the platform lists the VM as leaving, or the backend
+// server says that it drains. Every request passes this check at the node
+// beside its backend server, so it holds however little the senders know.
+func (n *Node) isLeaving() bool {
+	if n.leaving.Load() || n.prober.IsDraining() {
+		return true
+	}
+	list := n.list.Load()
+	if list == nil {
+		return false
+	}
+	vm, ok := list.VM(n.Settings.VM)
+	return ok && vm.State == locator.Leaving
+}
+
+// drain begins nothing new and waits for what runs.
+func (n *Node) drain() {
+	n.leaving.Store(true)
+	n.audit.Record(auditor.Entry{Kind: auditor.Leaving, Subject: n.Settings.VM, Detail: "graceful stop begun"})
+	n.admitter.Close()
+	deadline := time.Now().Add(time.Duration(n.Settings.Limits.DrainTimeout))
+	time.Sleep(refusingFor)
+	for n.isBusy() && time.Now().Before(deadline) {
+		time.Sleep(drainInterval)
+	}
+}
+
+func (n *Node) isBusy() bool {
+	return n.tracker.Len() > 0 || n.servers.active.Load() > 0
+}
+
+func (n *Node) registerMetrics() {
+	n.metrics.NewGauge("apricot_requests_in_flight", func() float64 {
+		inFlight, _ := n.admitter.Load()
+		return float64(inFlight)
+	})
+	n.metrics.NewGauge("apricot_concurrency_limit", func() float64 {
+		_, limit := n.admitter.Load()
+		return float64(limit)
+	})
+	n.metrics.NewGauge("apricot_config_version", func() float64 {
+		config, _ := n.spreader.Versions()
+		return float64(config)
+	})
+	n.metrics.NewGauge("apricot_vms_version", func() float64 {
+		_, vms := n.spreader.Versions()
+		return float64(vms)
+	})
+	n.metrics.NewGauge("apricot_freshness_age_seconds", func() float64 {
+		return n.spreader.Current().Age.Seconds()
+	})
+}
--- /dev/null
+++ b/apricotd/internal/process/node/peers.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"apricotrudder.dev/apricotd/internal/request/router"
+	"apricotrudder.dev/wire/peerwire"
+	"apricotrudder.dev/wire/peerwire/peerwireconnect"
+)
+
+type (
+	// peerService serves the node's peers.
+	peerService struct {
+		peerwireconnect.UnimplementedPeerServiceHandler
+		node *Node
+	}
+
+	// sender carries requests to peers, and to the own backend server without
+	// a detour through the network.
+	sender struct{ node *Node }
+)
+
+var (
+	_ peerwireconnect.PeerServiceHandler = (*peerService)(nil)
+	_ router.Sender                      = (*sender)(nil)
+)
+
+// Forward runs a peer's request on the own backend server.
+func (p *peerService) Forward(ctx context.Context, r *connect.Request[peerwire.ForwardRequest]) (*connect.Response[peerwire.ForwardResponse], error) {
+	if r.Msg.Context == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("got no call context, want one"))
+	}
+	return connect.NewResponse(p.node.executor.Execute(ctx, r.Msg)), nil
+}
+
+// Watch streams the tables and the VM list until either side stops.
+func (p *peerService) Watch(ctx context.Context, r *connect.Request[peerwire.WatchRequest], stream *connect.ServerStream[peerwire.WatchResponse]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.node.stopped, cancel)()
+	if err := p.node.spreader.Watch(ctx, r.Msg, stream); err != nil {
+		return fmt.Errorf("serve watch: %w", err)
+	}
+	return nil
+}
+
+// Status tells what the node knows of itself.
+func (p *peerService) Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error) {
+	config, vms := p.node.spreader.Versions()
+	return connect.NewResponse(&peerwire.StatusResponse{
+		Vm:            p.node.Settings.VM,
+		Process:       p.node.process,
+		ConfigVersion: config,
+		VmsVersion:    vms,
+		Leaving:       p.node.isLeaving(),
+	}), nil
+}
+
+// Forward implements router.Sender.
+func (s *sender) Forward(ctx context.Context, vm string, r *peerwire.ForwardRequest) (*peerwire.ForwardResponse, error) {
+	if vm == s.node.Settings.VM {
+		return s.node.executor.Execute(ctx, r), nil
+	}
+	response, err := s.node.forwarder.Forward(ctx, vm, r)
+	if err != nil {
+		return nil, fmt.Errorf("forward to %s: %w", vm, err)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/apricotd/internal/request/executor/executor.go
@@ -0,0 +1,176 @@
+// Package executor runs requests on the node's own backend server for peers.
+//
+// It guarantees that nothing is dispatched after its deadline, after its key
+// has been withdrawn, or once this node or its backend server is leaving, and
+// that a refusal says "not run" only if the backend server has not begun the
+// request. Every check that a pause may have made stale is repeated directly
+// before the dispatch.
+//
+// # Usage
+//
+//	response := e.Execute(ctx, message)
+package executor
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"apricotrudder.dev/apricotd/internal/connection/dispatcher"
+	"apricotrudder.dev/apricotd/internal/process/admitter"
+	"apricotrudder.dev/apricotd/internal/process/spreader"
+	"apricotrudder.dev/apricotd/internal/process/tracker"
+	"apricotrudder.dev/apricotd/internal/request/reporter"
+	"apricotrudder.dev/apricotd/internal/request/router"
+	"apricotrudder.dev/apricotd/internal/request/translator"
+	"apricotrudder.dev/apricotd/version/checker"
+	"apricotrudder.dev/wire/peerwire"
+)
+
+const maxOverloadedWait = 5 * time.Second
+
+// An Executor runs requests. Its fields must be set before use.
+type Executor struct {
+	VM         string
+	Pool       string
+	View       func() *router.View
+	Current    func() spreader.Freshness
+	Admitter   *admitter.Admitter
+	Tracker    *tracker.Tracker
+	Dispatcher *dispatcher.Dispatcher
+	// IsLeaving tells whether this node or its backend server is leaving.
+	IsLeaving func() bool
+	// BackendDown tells whether the backend server does not answer at all.
+	BackendDown func() bool
+}
+
+// Execute runs a request and returns what travels back to the sender.
+func (e *Executor) Execute(ctx context.Context, m *peerwire.ForwardRequest) *peerwire.ForwardResponse {
+	call := callOf(m)
+	tokens := m.Context.RetryTokens
+	o := e.check(m)
+	if o == nil {
+		o, tokens = e.admit(ctx, m, call)
+	}
+	inFlight, limit := e.Admitter.Load()
+	return translator.Response(o, tokens, &peerwire.Load{
+		InFlight: uint32(inFlight),
+		Limit:    uint32(limit),
+		Leaving:  e.IsLeaving(),
+	})
+}
+
+func callOf(m *peerwire.ForwardRequest) tracker.Call {
+	c := m.Context
+	return tracker.Call{
+		RequestID:      c.RequestId,
+		Organisation:   c.Organisation,
+		Class:          checker.Class(min(c.Class, uint32(checker.ClassCritical))),
+		Deadline:       time.Now().Add(c.Remaining.AsDuration()),
+		IdempotencyKey: c.IdempotencyKey,
+		Depth:          c.Depth,
+		KeyDigest:      c.KeyDigest,
+	}
+}
+
+// check refuses what this node must not run at all.
+func (e *Executor) check(m *peerwire.ForwardRequest) reporter.Outcome {
+	switch {
+	case m.Vm != e.VM || m.Pool != e.Pool:
+		return reporter.Refused{Reason: reporter.WrongNode, Detail: fmt.Sprintf("got a request for %s of pool %s, want %s of pool %s", m.Vm, m.Pool, e.VM, e.Pool)}
+	case e.IsLeaving():
+		return reporter.Refused{Reason: reporter.Leaving, Detail: "the backend server is leaving"}
+	case e.View() == nil:
+		return reporter.Refused{Reason: reporter.NotReady, Detail: "no tables in force yet", RetryAfter: time.Second}
+	case e.BackendDown():
+		return reporter.Refused{Reason: reporter.NoBackend, Detail: "the backend server does not answer", RetryAfter: time.Second}
+	}
+	return nil
+}
+
+func (e *Executor) admit(ctx context.Context, m *peerwire.ForwardRequest, call tracker.Call) (reporter.Outcome, uint32) {
+	tokens := m.Context.RetryTokens
+	weight := 0.0
+	if o := e.View().Config.Organisations[call.Organisation]; o != nil {
+		weight = o.Rate
+	}
+	release, err := e.Admitter.Enter(ctx, admitter.Request{
+		Class:        call.Class,
+		Organisation: call.Organisation,
+		Weight:       weight,
+		Deadline:     call.Deadline,
+	})
+	if err != nil {
+		return shed(err), tokens
+	}
+	if o := e.recheck(call, m.Route); o != nil {
+		release(false)
+		return o, tokens
+	}
+	parent := e.Tracker.Begin(ctx, call, tokens)
+	o := e.dispatch(parent, m)
+	tokens = e.Tracker.End(parent)
+	_, ok := o.(reporter.Answered)
+	release(ok)
+	return o, tokens
+}
+
+// recheck repeats the checks that waiting or a pause may have made stale.
+func (e *Executor) recheck(call tracker.Call, routeName string) reporter.Outcome {
+	if e.IsLeaving() {
+		return reporter.Refused{Reason: reporter.Leaving, Detail: "the backend server is leaving"}
+	}
+	if !time.Now().Before(call.Deadline) {
+		return reporter.Refused{Reason: reporter.DeadlineExceeded, Detail: "no time was left to begin"}
+	}
+	if len(call.KeyDigest) == 0 {
+		return nil
+	}
+	cfg := e.View().Config
+	if !cfg.IsGranted(call.KeyDigest, call.Organisation) {
+		return reporter.Refused{Reason: reporter.KeyUnknown, Detail: "the key has been withdrawn"}
+	}
+	// A route that this node does not know yet falls under the stricter rule.
+	route := cfg.Routes[routeName]
+	if (route == nil || route.WhenStale == checker.StaleRefuse) && !e.Current().MayServeKeys() {
+		return reporter.Refused{Reason: reporter.KeysNotCurrent, Detail: "the executing node cannot show that no key was withdrawn", RetryAfter: time.Second}
+	}
+	return nil
+}
+
+func (e *Executor) dispatch(p *tracker.Parent, m *peerwire.ForwardRequest) reporter.Outcome {
+	pool := e.View().Config.Pools[e.Pool]
+	if pool == nil {
+		return reporter.Refused{Reason: reporter.WrongNode, Detail: fmt.Sprintf("pool %s is not in the pools table in force here", e.Pool)}
+	}
+	header := translator.HTTPHeader(m.Headers)
+	header.Set(tracker.Header, p.Token)
+	return e.Dispatcher.Dispatch(p.Context, dispatcher.Request{
+		Method:         m.Method,
+		Path:           m.Path,
+		Query:          m.Query,
+		Header:         header,
+		Body:           m.Body,
+		IdempotencyKey: m.Context.IdempotencyKey,
+		Remaining:      time.Until(p.Deadline),
+		BodyLimit:      int64(pool.BodyLimit),
+	})
+}
+
+func shed(err error) reporter.Outcome {
+	var s *admitter.ShedError
+	if !errors.As(err, &s) {
+		panic(fmt.Sprintf("admitter returned %T", err))
+	}
+	switch s.Cause {
+	case admitter.Deadline:
+		return reporter.Refused{Reason: reporter.DeadlineExceeded, Detail: "too little time is left to finish"}
+	case admitter.Closed:
+		return reporter.Refused{Reason: reporter.Leaving, Detail: "the backend server is leaving"}
+	case admitter.Cancelled:
+		return reporter.Refused{Reason: reporter.Cancelled, Detail: "the caller has gone"}
+	}
+	return reporter.Refused{Reason: reporter.Overloaded, Detail: string(s.Cause), RetryAfter: min(s.RetryAfter, maxOverloadedWait)}
+}
--- /dev/null
+++ b/apricotd/internal/request/reporter/reporter.go
@@ -0,0 +1,225 @@
+// Package reporter tells callers what became of their requests.
+//
+// It guarantees that every request ends in exactly one Outcome: Answered with
+// the whole answer, Refused and certainly not run, or Unknown when it may have
+// run. Refusals are RFC 9457 problem documents.
+//
+// # Usage
+//
+//	reporter.Write(w, requestID, reporter.Refused{Reason: reporter.Overloaded, RetryAfter: time.Second})
+package reporter
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reasons why a request has no answer.
+const (
+	KeyMissing            Reason = "keyMissing"
+	KeyUnknown            Reason = "keyUnknown"
+	KeyInURL              Reason = "keyInUrl"
+	KeysNotCurrent        Reason = "keysNotCurrent"
+	RouteUnknown          Reason = "routeUnknown"
+	RouteInternal         Reason = "routeInternal"
+	ContextMissing        Reason = "contextMissing"
+	ContextUnknown        Reason = "contextUnknown"
+	HeaderInvalid         Reason = "headerInvalid"
+	BodyTooLarge          Reason = "bodyTooLarge"
+	BodyTruncated         Reason = "bodyTruncated"
+	IdempotencyKeyMissing Reason = "idempotencyKeyMissing"
+	IdempotencyKeyReused  Reason = "idempotencyKeyReused"
+	RateExceeded          Reason = "rateExceeded"
+	Overloaded            Reason = "overloaded"
+	DeadlineExceeded      Reason = "deadlineExceeded"
+	Cancelled             Reason = "cancelled"
+	NoBackend             Reason = "noBackend"
+	Leaving               Reason = "leaving"
+	NotReady              Reason = "notReady"
+	WrongNode             Reason = "wrongNode"
+	Quarantined           Reason = "quarantined"
+	ClaimUnavailable      Reason = "claimUnavailable"
+	BackendFailed         Reason = "backendFailed"
+	AnswerTruncated       Reason = "answerTruncated"
+	AnswerTooLarge        Reason = "answerTooLarge"
+	PeerLost              Reason = "peerLost"
+)
+
+// Values of the ran member of a problem document.
+const (
+	ranNot     = "notRun"
+	ranUnknown = "unknown"
+)
+
+// Header fields of answers and refusals.
+const (
+	HeaderRequestID   = "Apricot-Request-Id"
+	HeaderOutcome     = "Apricot-Outcome"
+	HeaderProxyStatus = "Proxy-Status"
+	HeaderRetryAfter  = "Retry-After"
+
+	problemType = "application/problem+json"
+)
+
+type (
+	// A Reason names why a request has no answer. The names are part of the
+	// protocol with callers.
+	Reason string
+
+	// An Outcome is what a caller is told about its request: Answered,
+	// Refused or Unknown.
+	Outcome interface{ outcome() }
+
+	// Answered carries the whole answer of the backend server.
+	Answered struct {
+		Status int
+		Header http.Header
+		Body   []byte
+	}
+
+	// Refused means that no backend server has begun the request.
+	Refused struct {
+		Reason     Reason
+		Detail     string
+		RetryAfter time.Duration // 0: not stated
+	}
+
+	// Unknown means that the request may have run, in part or whole.
+	Unknown struct {
+		Reason Reason
+		Detail string
+	}
+
+	problem struct {
+		Type      string `json:"type"`
+		Title     string `json:"title"`
+		Status    int    `json:"status"`
+		Detail    string `json:"detail,omitempty"`
+		Reason    Reason `json:"reason"`
+		Ran       string `json:"ran"`
+		RequestID string `json:"requestId,omitempty"`
+	}
+)
+
+var (
+	_ Outcome = Answered{}
+	_ Outcome = Refused{}
+	_ Outcome = Unknown{}
+)
+
+var statuses = map[Reason]int{
+	KeyMissing:            http.StatusUnauthorized,
+	KeyUnknown:            http.StatusUnauthorized,
+	KeyInURL:              http.StatusBadRequest,
+	KeysNotCurrent:        http.StatusServiceUnavailable,
+	RouteUnknown:          http.StatusNotFound,
+	RouteInternal:         http.StatusForbidden,
+	ContextMissing:        http.StatusBadRequest,
+	ContextUnknown:        http.StatusForbidden,
+	HeaderInvalid:         http.StatusBadRequest,
+	BodyTooLarge:          http.StatusRequestEntityTooLarge,
+	BodyTruncated:         http.StatusBadRequest,
+	IdempotencyKeyMissing: http.StatusBadRequest,
+	IdempotencyKeyReused:  http.StatusUnprocessableEntity,
+	RateExceeded:          http.StatusTooManyRequests,
+	DeadlineExceeded:      http.StatusGatewayTimeout,
+	BackendFailed:         http.StatusBadGateway,
+	AnswerTruncated:       http.StatusBadGateway,
+	AnswerTooLarge:        http.StatusBadGateway,
+	PeerLost:              http.StatusBadGateway,
+}
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+func (Unknown) outcome()  {}
+
+// Status returns the HTTP status that goes with the reason.
+func (r Reason) Status() int {
+	if s, ok := statuses[r]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Write sends the outcome to a caller or to the node's own backend server.
+func Write(w http.ResponseWriter, requestID string, o Outcome) {
+	w.Header().Set(HeaderRequestID, requestID)
+	switch o := o.(type) {
+	case Answered:
+		writeAnswer(w, o)
+	case Refused:
+		if o.RetryAfter > 0 {
+			w.Header().Set(HeaderRetryAfter, retryAfterSeconds(o.RetryAfter))
+		}
+		writeProblem(w, requestID, o.Reason, o.Detail, ranNot)
+	case Unknown:
+		writeProblem(w, requestID, o.Reason, o.Detail, ranUnknown)
+	default:
+		panic(fmt.Sprintf("outcome of type %T", o))
+	}
+}
+
+func writeAnswer(w http.ResponseWriter, a Answered) {
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	h.Set(HeaderOutcome, "answered")
+	w.WriteHeader(a.Status)
+	// A failed write means that the caller has gone; nobody is left to tell.
+	_, _ = w.Write(a.Body)
+}
+
+func writeProblem(w http.ResponseWriter, requestID string, reason Reason, detail, ran string) {
+	body, err := json.Marshal(problem{
+		Type:      "about:blank",
+		Title:     string(reason),
+		Status:    reason.Status(),
+		Detail:    detail,
+		Reason:    reason,
+		Ran:       ran,
+		RequestID: requestID,
+	})
+	if err != nil {
+		panic(fmt.Sprintf("encode problem document: %v", err))
+	}
+	h := w.Header()
+	h.Set("Content-Type", problemType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderOutcome, ran)
+	h.Set(HeaderProxyStatus, fmt.Sprintf("apricotrudder; error=%s; details=%q", proxyError(reason), reason))
+	if reason.Status() == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(reason.Status())
+	_, _ = w.Write(body)
+}
+
+// proxyError returns the closest error type of RFC 9209.
+func proxyError(reason Reason) string {
+	switch reason {
+	case DeadlineExceeded:
+		return "http_response_timeout"
+	case NoBackend, NotReady:
+		return "destination_unavailable"
+	case Overloaded, Leaving:
+		return "connection_limit_reached"
+	case AnswerTruncated:
+		return "http_response_incomplete"
+	case AnswerTooLarge:
+		return "http_response_body_size"
+	case BackendFailed, PeerLost:
+		return "connection_terminated"
+	}
+	return "http_request_denied"
+}
+
+// retryAfterSeconds rounds up, since Retry-After counts whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/apricotd/internal/request/router/callers.go
@@ -0,0 +1,207 @@
+package router
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"apricotrudder.dev/apricotd/internal/process/tracker"
+	"apricotrudder.dev/apricotd/internal/request/reporter"
+	"apricotrudder.dev/apricotd/internal/request/translator"
+	"apricotrudder.dev/apricotd/version/checker"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerPrefer         = "Prefer"
+	bearerPrefix         = "Bearer "
+	maxIdempotencyKey    = 255 // bytes
+)
+
+// Callers returns the handler for callers' requests.
+func (r *Router) Callers() http.Handler {
+	return http.HandlerFunc(r.serveCaller)
+}
+
+func (r *Router) serveCaller(w http.ResponseWriter, hr *http.Request) {
+	begun := time.Now()
+	rq := &request{call: tracker.Call{RequestID: rand.Text()}}
+	tokens, o := r.admitCaller(hr, rq)
+	if o == nil {
+		balance := tracker.NewBalance(tokens)
+		o = r.run(hr.Context(), rq, balance)
+	}
+	r.finish(w, rq.call, rq.route, begun, o)
+}
+
+// admitCaller checks everything that can be checked before work is done for
+// the request, the cheap checks first. It returns the retry tokens with which
+// the request starts.
+func (r *Router) admitCaller(hr *http.Request, rq *request) (uint32, reporter.Outcome) {
+	rq.view = r.View()
+	if rq.view == nil {
+		return 0, reporter.Refused{Reason: reporter.NotReady, Detail: "no tables in force yet", RetryAfter: time.Second}
+	}
+	if r.IsLeaving() {
+		return 0, reporter.Refused{Reason: reporter.Leaving, Detail: "this node is stopping; use another"}
+	}
+	route, pool, o := r.match(hr, rq.view)
+	if o != nil {
+		return 0, o
+	}
+	rq.route, rq.pool = route, pool
+	key, o := r.identify(hr, rq)
+	if o != nil {
+		return 0, o
+	}
+	if o := setIdempotencyKey(hr, rq); o != nil {
+		return 0, o
+	}
+	rq.call.Class = route.Class
+	rq.call.Deadline = time.Now().Add(timeoutOf(hr, route))
+	if o := rq.readBody(hr); o != nil {
+		return 0, o
+	}
+	rq.setTarget(hr, key)
+	if o := r.limit(hr, rq); o != nil {
+		return 0, o
+	}
+	return route.Retries, nil
+}
+
+// identify turns the key into an organisation. The key itself is returned only
+// so that it can be kept out of what is passed on.
+func (r *Router) identify(hr *http.Request, rq *request) (string, reporter.Outcome) {
+	switch rq.route.Access {
+	case checker.AccessOpen:
+		return bearerKey(hr), nil
+	case checker.AccessInternal:
+		return "", reporter.Refused{Reason: reporter.RouteInternal, Detail: "the route is for backend servers only"}
+	}
+	key := bearerKey(hr)
+	if key == "" {
+		return "", reporter.Refused{Reason: reporter.KeyMissing, Detail: "got no key, want Authorization: Bearer KEY"}
+	}
+	if strings.Contains(hr.URL.RequestURI(), key) {
+		return "", reporter.Refused{Reason: reporter.KeyInURL, Detail: "the key stands in the URL as well, where backend servers would see it"}
+	}
+	digest := checker.Digest(key)
+	organisation, ok := rq.view.Config.Keys[digest]
+	if !ok {
+		return "", reporter.Refused{Reason: reporter.KeyUnknown, Detail: "the key is not granted"}
+	}
+	if rq.route.WhenStale == checker.StaleRefuse && !r.Current().MayServeKeys() {
+		return "", keysNotCurrent()
+	}
+	rq.call.Organisation = organisation
+	rq.call.KeyDigest = digest[:]
+	return key, nil
+}
+
+func keysNotCurrent() reporter.Outcome {
+	return reporter.Refused{
+		Reason:     reporter.KeysNotCurrent,
+		Detail:     "this node cannot show that no key was withdrawn",
+		RetryAfter: time.Second,
+	}
+}
+
+func bearerKey(hr *http.Request) string {
+	value := hr.Header.Get("Authorization")
+	if len(value) < len(bearerPrefix) || !strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
+		return ""
+	}
+	return strings.TrimSpace(value[len(bearerPrefix):])
+}
+
+func setIdempotencyKey(hr *http.Request, rq *request) reporter.Outcome {
+	if rq.route.Idempotent {
+		return nil
+	}
+	key := hr.Header.Get(headerIdempotencyKey)
+	if key == "" {
+		return reporter.Refused{Reason: reporter.IdempotencyKeyMissing, Detail: "got no Idempotency-Key, want one, since the route may have effects"}
+	}
+	if len(key) > maxIdempotencyKey {
+		return reporter.Refused{
+			Reason: reporter.HeaderInvalid,
+			Detail: fmt.Sprintf("Idempotency-Key: got %d bytes, want at most %d", len(key), maxIdempotencyKey),
+		}
+	}
+	// Keys of different organisations never meet.
+	rq.call.IdempotencyKey = rq.call.Organisation + "/" + key
+	return nil
+}
+
+// timeoutOf returns the route's timeout, or less if the caller asks for less by
+// "Prefer: wait=SECONDS" (RFC 7240).
+func timeoutOf(hr *http.Request, route *checker.Route) time.Duration {
+	timeout := time.Duration(route.Timeout)
+	for _, value := range hr.Header.Values(headerPrefer) {
+		for part := range strings.SplitSeq(value, ",") {
+			seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "wait=")
+			if !ok {
+				continue
+			}
+			if n, err := strconv.Atoi(seconds); err == nil && n > 0 {
+				timeout = min(timeout, time.Duration(n)*time.Second)
+			}
+		}
+	}
+	return timeout
+}
+
+func (rq *request) readBody(hr *http.Request) reporter.Outcome {
+	limit := int64(rq.pool.BodyLimit)
+	if hr.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
+	if err != nil {
+		reason := reporter.BodyTruncated
+		if !errors.Is(err, io.ErrUnexpectedEOF) && hr.Context().Err() != nil {
+			reason = reporter.Cancelled
+		}
+		return reporter.Refused{Reason: reason, Detail: fmt.Sprintf("read body: %v", err)}
+	}
+	if int64(len(body)) > limit {
+		return tooLarge(limit)
+	}
+	rq.body = body
+	return nil
+}
+
+func tooLarge(limit int64) reporter.Outcome {
+	return reporter.Refused{Reason: reporter.BodyTooLarge, Detail: fmt.Sprintf("want a body of at most %d bytes", limit)}
+}
+
+func (rq *request) setTarget(hr *http.Request, key string) {
+	rq.method = hr.Method
+	rq.path = hr.URL.EscapedPath()
+	rq.query = hr.URL.RawQuery
+	rq.header = translator.Headers(hr.Header, key)
+}
+
+// limit takes one token of the organisation's rate. Calls that backend servers
+// make for a request are not counted again.
+func (r *Router) limit(hr *http.Request, rq *request) reporter.Outcome {
+	o := rq.view.Config.Organisations[rq.call.Organisation]
+	if o == nil {
+		return nil
+	}
+	retryAfter, ok := r.Limiter.Take(hr.Context(), o)
+	if ok {
+		return nil
+	}
+	return reporter.Refused{
+		Reason:     reporter.RateExceeded,
+		Detail:     fmt.Sprintf("organisation %s has used its rate of %g requests per second", o.Name, o.Rate),
+		RetryAfter: retryAfter,
+	}
+}
--- /dev/null
+++ b/apricotd/main.go
@@ -0,0 +1,94 @@
+// Command apricotd is the node: one runs beside each backend server.
+//
+// Usage:
+//
+//	apricotd --config apricotd.toml          run until SIGTERM
+//	apricotd --config apricotd.toml --check  check the settings and exit
+//	apricotd --version
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/certifier"
+	"apricotrudder.dev/apricotd/internal/process/loader"
+	"apricotrudder.dev/apricotd/internal/process/node"
+)
+
+const (
+	release      = "0.1.0"
+	exitFailure  = 1
+	exitBadUsage = 2
+)
+
+type options struct {
+	Config  string `long:"config" value-name:"FILE" description:"settings file (TOML)"`
+	Check   bool   `long:"check" description:"check the settings and exit"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(args); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitBadUsage
+	}
+	if o.Version {
+		fmt.Println("apricotd", release)
+		return 0
+	}
+	if o.Config == "" {
+		fmt.Fprintln(os.Stderr, "apricotd: got no --config, want a settings file")
+		return exitBadUsage
+	}
+	if err := start(o); err != nil {
+		fmt.Fprintln(os.Stderr, "apricotd:", err)
+		return exitFailure
+	}
+	return 0
+}
+
+func start(o options) error {
+	s, err := loader.Load(o.Config)
+	if err != nil {
+		return err
+	}
+	n := &node.Node{Settings: s, Log: newLog(s.Log.Level), Version: release}
+	if !s.TLS.IsPlain() {
+		n.TLS, err = certifier.Load(s.TLS.Certificate, s.TLS.Key, s.TLS.Authority)
+		if err != nil {
+			return fmt.Errorf("load tls files: %w", err)
+		}
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return n.Run(ctx)
+}
+
+func newLog(level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	if l, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(l)
+	}
+	return log
+}
--- /dev/null
+++ b/apricotd/observer/observer.go
@@ -0,0 +1,95 @@
+// Package observer reads what nodes tell operators.
+//
+// It holds the types of the operator endpoints, which docs/PROTOCOL.md
+// describes, and a client for them.
+//
+// # Usage
+//
+//	o := &observer.Observer{Client: http.DefaultClient}
+//	status, err := o.Status(ctx, address)
+package observer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+const maxAnswer = 4 << 20 // bytes
+
+type (
+	// Status is what a node tells of itself.
+	Status struct {
+		VM            string `json:"vm"`
+		Pool          string `json:"pool"`
+		DataCentre    string `json:"dataCentre"`
+		Process       string `json:"process"` // differs after every start
+		Release       string `json:"release"`
+		ConfigVersion uint64 `json:"configVersion"`
+		VMsVersion    uint64 `json:"vmsVersion"`
+		Ready         bool   `json:"ready"`
+		Fresh         bool   `json:"fresh"`
+		AgeMs         int64  `json:"ageMs"` // of the newest confirmation, if fresh
+		PlatformDown  bool   `json:"platformDown"`
+		Leaving       bool   `json:"leaving"`
+		BackendDown   bool   `json:"backendDown"`
+		InFlight      int    `json:"inFlight"`
+		Limit         int    `json:"limit"`
+	}
+
+	// An Entry is one line of a node's audit trail.
+	Entry struct {
+		Time    time.Time `json:"time"`
+		Kind    string    `json:"kind"`
+		Subject string    `json:"subject,omitempty"`
+		Detail  string    `json:"detail,omitempty"`
+		Version uint64    `json:"version,omitempty"`
+		Source  string    `json:"source,omitempty"`
+	}
+
+	// An Observer reads the operator endpoints of nodes.
+	Observer struct {
+		Client *http.Client
+	}
+)
+
+// Status reads a node's status.
+func (o *Observer) Status(ctx context.Context, node netip.AddrPort) (Status, error) {
+	var s Status
+	err := o.get(ctx, node, "/v1/status", &s)
+	return s, err
+}
+
+// Audit reads a node's newest audit entries, the newest first.
+func (o *Observer) Audit(ctx context.Context, node netip.AddrPort, count int) ([]Entry, error) {
+	var entries []Entry
+	err := o.get(ctx, node, fmt.Sprintf("/v1/audit?count=%d", count), &entries)
+	return entries, err
+}
+
+func (o *Observer) get(ctx context.Context, node netip.AddrPort, path string, target any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.String()+path, nil)
+	if err != nil {
+		return fmt.Errorf("ask node %v: %w", node, err)
+	}
+	response, err := o.Client.Do(request)
+	if err != nil {
+		return fmt.Errorf("ask node %v: %w", node, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("read answer of node %v: %w", node, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask node %v: got status %d: %s", node, response.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, target); err != nil {
+		return fmt.Errorf("decode answer of node %v: %w", node, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/apricotd/version/locator/locator.go
@@ -0,0 +1,165 @@
+// Package locator knows which VMs exist and where they are.
+//
+// A List is one version of the platform's list of live and leaving VMs. The
+// list lags behind the truth, so a List only says where to try: whoever acts
+// on it must cope with VMs that are gone or have not started yet. A List never
+// changes, so it may be shared between goroutines.
+//
+// # Usage
+//
+//	list, err := locator.New(version, vms)
+//	for _, vm := range list.Pool("licensing") { ... }
+//	holders := list.Rank("shard/12")[:5]
+//
+// Building a List costs O(n log n) in the number of VMs. Rank is O(n); callers
+// keep its result for as long as the version lasts.
+package locator
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"slices"
+)
+
+// The states in which the platform lists a VM.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+type (
+	// A State is the platform's view of a VM.
+	State string
+
+	// A VM is one row of the platform's list: a backend server and its node.
+	VM struct {
+		ID         string         `json:"id"`
+		Region     string         `json:"region"`
+		DataCentre string         `json:"dataCentre"`
+		Pool       string         `json:"pool"`
+		Address    netip.AddrPort `json:"address"` // where the node serves its peers
+		State      State          `json:"state"`
+	}
+
+	// A List is one version of the platform's list.
+	List struct {
+		Version uint64
+		vms     []VM // ordered by ID
+		byID    map[string]int
+		byPool  map[string][]VM
+		byDC    map[string][]VM
+	}
+)
+
+// Check tells what is wrong with the row, if anything.
+func (v VM) Check() error {
+	switch {
+	case v.ID == "":
+		return fmt.Errorf("vm without id: got \"\", want a name")
+	case !v.Address.IsValid():
+		return fmt.Errorf("vm %q: got no address, want an IP address and port", v.ID)
+	case v.State != Live && v.State != Leaving:
+		return fmt.Errorf("vm %q: got state %q, want live or leaving", v.ID, v.State)
+	}
+	return nil
+}
+
+// New builds a List. It fails on a row without id, address or known state, and
+// on an id that stands twice.
+func New(version uint64, vms []VM) (*List, error) {
+	l := &List{
+		Version: version,
+		vms:     slices.Clone(vms),
+		byID:    make(map[string]int, len(vms)),
+		byPool:  make(map[string][]VM),
+		byDC:    make(map[string][]VM),
+	}
+	slices.SortFunc(l.vms, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	for i, vm := range l.vms {
+		if err := vm.Check(); err != nil {
+			return nil, fmt.Errorf("check VM list: %w", err)
+		}
+		if _, ok := l.byID[vm.ID]; ok {
+			return nil, fmt.Errorf("check VM list: got vm %q twice, want it once", vm.ID)
+		}
+		l.byID[vm.ID] = i
+		l.byPool[vm.Pool] = append(l.byPool[vm.Pool], vm)
+		l.byDC[vm.DataCentre] = append(l.byDC[vm.DataCentre], vm)
+	}
+	return l, nil
+}
+
+// VM returns the row of one VM.
+func (l *List) VM(id string) (VM, bool) {
+	i, ok := l.byID[id]
+	if !ok {
+		return VM{}, false
+	}
+	return l.vms[i], true
+}
+
+// VMs returns all rows ordered by id. The slice must not be changed.
+func (l *List) VMs() []VM { return l.vms }
+
+// Pool returns the VMs of a pool ordered by id. The slice must not be changed.
+func (l *List) Pool(name string) []VM { return l.byPool[name] }
+
+// DataCentre returns the VMs of a data centre ordered by id. The slice must
+// not be changed.
+func (l *List) DataCentre(name string) []VM { return l.byDC[name] }
+
+// DataCentres returns the names of the data centres in order.
+func (l *List) DataCentres() []string {
+	names := make([]string, 0, len(l.byDC))
+	for name := range l.byDC {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Rank orders the live VMs by rendezvous hashing on key: every node computes
+// the same order, and one VM more or less moves no other.
+func Rank(key string, vms []VM) []VM {
+	type scored struct {
+		score uint64
+		vm    VM
+	}
+	ranked := make([]scored, 0, len(vms))
+	for _, vm := range vms {
+		if vm.State == Live {
+			ranked = append(ranked, scored{Hash(key, vm.ID), vm})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.ID, b.vm.ID))
+	})
+	out := make([]VM, len(ranked))
+	for i, s := range ranked {
+		out[i] = s.vm
+	}
+	return out
+}
+
+// Hash returns a number that is spread evenly over all values and is the same
+// on every node.
+func Hash(key, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of an FNV sum, whose high bits depend little on the
+// last bytes hashed.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/standin/launcher/deployment.go
@@ -0,0 +1,104 @@
+package launcher
+
+import (
+	"embed"
+	"fmt"
+	"path"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"apricotrudder.dev/standin/caller"
+	"apricotrudder.dev/standin/responder"
+)
+
+//go:embed deployments
+var deployments embed.FS
+
+type (
+	// A Deployment is the shape of one user's fleet and its load.
+	Deployment struct {
+		Name         string         `toml:"name"`
+		DataCentre   []DataCentre   `toml:"dataCentre"`
+		Service      []Service      `toml:"service"`
+		Kind         []caller.Kind  `toml:"kind"`
+		Organisation []Organisation `toml:"organisation"`
+
+		routes string
+		pools  string
+	}
+
+	// A DataCentre is where VMs run.
+	DataCentre struct {
+		Name   string `toml:"name"`
+		Region string `toml:"region"`
+	}
+
+	// A Service is a pool with one backend server in each data centre.
+	Service struct {
+		Pool          string             `toml:"pool"`
+		Slots         int                `toml:"slots"`
+		Connections   int                `toml:"connections"`
+		ServiceMicros int                `toml:"serviceMicros"`
+		Handle        []responder.Handle `toml:"handle"`
+	}
+
+	// An Organisation is one caller with its granted rate and what it sends.
+	Organisation struct {
+		Name  string  `toml:"name"`
+		Rate  float64 `toml:"rate"`
+		Burst float64 `toml:"burst"`
+		Send  float64 `toml:"send"` // requests per second
+	}
+
+	// BackendSettings is the settings file of a stand-in backend server.
+	BackendSettings struct {
+		Service       string             `toml:"service"`
+		Listen        string             `toml:"listen"`
+		Node          string             `toml:"node"`
+		Slots         int                `toml:"slots"`
+		Connections   int                `toml:"connections"`
+		ServiceMicros int                `toml:"serviceMicros"`
+		Handle        []responder.Handle `toml:"handle"`
+	}
+)
+
+// Names returns the embedded deployments.
+func Names() []string {
+	return []string{"tatrasound", "fuzopont"}
+}
+
+// Load reads an embedded deployment.
+func Load(name string) (*Deployment, error) {
+	read := func(file string) (string, error) {
+		data, err := deployments.ReadFile(path.Join("deployments", name, file))
+		if err != nil {
+			return "", fmt.Errorf("read deployment %s: %w", name, err)
+		}
+		return string(data), nil
+	}
+	d := &Deployment{}
+	text, err := read("deployment.toml")
+	if err != nil {
+		return nil, err
+	}
+	if _, err := toml.Decode(text, d); err != nil {
+		return nil, fmt.Errorf("decode deployment %s: %w", name, err)
+	}
+	if d.routes, err = read("routes.toml"); err != nil {
+		return nil, err
+	}
+	if d.pools, err = read("pools.toml"); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// organisationsTable returns the published table for the given keys.
+func (d *Deployment) organisationsTable(digest func(key string) string, keys map[string]string) string {
+	var b strings.Builder
+	for _, o := range d.Organisation {
+		fmt.Fprintf(&b, "[[organisation]]\nname = %q\nrate = %g\nburst = %g\nkeys = [%q]\n\n", o.Name, o.Rate, o.Burst, digest(keys[o.Name]))
+	}
+	return b.String()
+}
