Count rates across the fleet: leased shard owners and borrowed tokens

Change: a bucket has one owner at a time, by leases from a majority of a group that follows from the VM list; other nodes borrow tokens that expire.

--- /dev/null
+++ b/apricotd/internal/process/leaser/owner.go
@@ -0,0 +1,347 @@
+package leaser
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"apricotrudder.dev/apricotd/internal/process/auditor"
+	"apricotrudder.dev/apricotd/internal/process/timekeeper"
+	"apricotrudder.dev/apricotd/version/sharder"
+	"apricotrudder.dev/wire/peerwire"
+)
+
+// maxGroups bounds the chain of groups that an owner follows back.
+const maxGroups = 16
+
+// replies are the answers of members, by VM.
+type replies map[string]*peerwire.WitnessResponse
+
+// tend tries to become and stay the owner of a shard until it is unused, the
+// group has moved on, or another owner is supported.
+func (l *Leaser) tend(s *shard) {
+	defer l.giveUp(s)
+	l.startLearning(s.id)
+	var prepared sharder.Group
+	for l.ctx.Err() == nil && !l.isUnused(s) {
+		group, ok := l.Group(s.id)
+		if !ok || !group.Has(l.Self) {
+			return
+		}
+		if !prepared.IsSame(group) {
+			if !l.prepare(s, group) {
+				if l.isSupportingOther(s) {
+					return
+				}
+				l.sleep(retryPause)
+				continue
+			}
+			prepared = group
+		}
+		if l.renew(s, group) {
+			l.sleep(renewal)
+			continue
+		}
+		if l.isSupportingOther(s) {
+			return
+		}
+		l.sleep(retryPause)
+	}
+}
+
+// prepare makes sure that no owner of another group acts any more.
+func (l *Leaser) prepare(s *shard, group sharder.Group) bool {
+	first, wait, ok := l.collect(s, group)
+	if !ok {
+		return false
+	}
+	if wait > 0 {
+		l.sleep(wait + wait/10)
+	}
+	second, _, ok := l.collect(s, group)
+	if !ok {
+		return false
+	}
+	for version, before := range first {
+		if countSame(before, second[version]) < before.group.Majority() {
+			return false
+		}
+	}
+	return len(first) == len(second)
+}
+
+// promises are the members of one group that gave their promise.
+type promises struct {
+	group   sharder.Group
+	process map[string]string // by VM
+}
+
+// collect gets the promises of a majority of the owner's own group and of
+// every group that may have had an owner, following their answers from group
+// to group. It returns the longest time for which a member still supports
+// another owner.
+func (l *Leaser) collect(s *shard, group sharder.Group) (map[uint64]promises, time.Duration, bool) {
+	collected := make(map[uint64]promises)
+	var wait time.Duration
+	due := l.basesOf(s, group)
+	for len(due) > 0 && len(collected) < maxGroups {
+		base := due[0]
+		due = due[1:]
+		if _, ok := collected[base.Version]; ok {
+			continue
+		}
+		got := l.askFor(base, s, group, peerwire.WitnessKind_WITNESS_KIND_PROMISE)
+		p := promises{group: base, process: make(map[string]string)}
+		for vm, r := range got {
+			if r.Granted {
+				p.process[vm] = r.Process
+				wait = max(wait, leaseLeft(r, l, got))
+			}
+		}
+		if len(p.process) < base.Majority() {
+			return nil, 0, false
+		}
+		collected[base.Version] = p
+		found, ok := l.takeInAll(s, group, got)
+		if !ok {
+			return nil, 0, false
+		}
+		due = append(due, found...)
+	}
+	return collected, wait, len(due) == 0
+}
+
+// basesOf returns the groups that are known at the beginning.
+func (l *Leaser) basesOf(s *shard, group sharder.Group) []sharder.Group {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	bases := []sharder.Group{group}
+	for _, g := range append(slices.Clone(s.pending), s.established) {
+		if isBase(g, group) {
+			bases = append(bases, g)
+		}
+	}
+	return bases
+}
+
+// takeInAll returns the groups that the answers lead to. It reports false if a
+// member has promised itself to a newer group than this one.
+func (l *Leaser) takeInAll(s *shard, group sharder.Group, got replies) ([]sharder.Group, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []sharder.Group
+	for _, r := range got {
+		for _, g := range append(r.Pending, r.Established) {
+			known := FromWire(g)
+			if known.Version > group.Version && !known.IsSame(group) {
+				s.takeIn(r)
+				return nil, false
+			}
+			if isBase(known, group) {
+				found = append(found, known)
+			}
+		}
+		s.establish(FromWire(r.Established))
+	}
+	return found, true
+}
+
+// isBase tells whether a group other than the owner's own may have an owner.
+func isBase(g, own sharder.Group) bool {
+	return g.Version > 0 && !g.IsSame(own)
+}
+
+// leaseLeft is the time for which a member still supports another owner. If
+// that owner itself is among those that promised, it acts no longer.
+func leaseLeft(r *peerwire.WitnessResponse, l *Leaser, got replies) time.Duration {
+	if r.Owner == l.Self && r.OwnerProcess == l.Process {
+		return 0
+	}
+	if owner := got[r.Owner]; owner != nil && owner.Granted && owner.Process == r.OwnerProcess {
+		return 0
+	}
+	return r.LeaseLeft.AsDuration()
+}
+
+func countSame(before, after promises) int {
+	n := 0
+	for vm, process := range before.process {
+		if after.process[vm] == process {
+			n++
+		}
+	}
+	return n
+}
+
+// renew asks all members for support and reports whether a majority gave it.
+func (l *Leaser) renew(s *shard, group sharder.Group) bool {
+	asked := timekeeper.Now()
+	l.mu.Lock()
+	isOutdated := s.isOutdated(group)
+	endings := s.endings
+	l.mu.Unlock()
+	if isOutdated {
+		return false
+	}
+	got := l.ask(group, s, peerwire.WitnessKind_WITNESS_KIND_VOUCH)
+	granted := 0
+	for _, r := range got {
+		if r.Granted {
+			granted++
+		}
+	}
+	if granted >= group.Majority() {
+		return l.extend(s, group, asked, endings, got)
+	}
+	l.lose(s, group, granted)
+	return false
+}
+
+// extend records the support, unless this node has given its word to another
+// owner since it asked.
+func (l *Leaser) extend(s *shard, group sharder.Group, asked timekeeper.Moment, endings int, got replies) bool {
+	l.mu.Lock()
+	if s.endings != endings || s.isOutdated(group) {
+		l.mu.Unlock()
+		return false
+	}
+	isNew := !l.isContinued(s, got)
+	isFirst := !s.established.IsSame(group)
+	s.asked = asked
+	s.released = false
+	s.ended = false
+	if isNew {
+		s.current = &Term{leaser: l, shard: s}
+	}
+	s.establish(group)
+	l.mu.Unlock()
+	if isNew {
+		l.Audit.Record(auditor.Entry{Kind: auditor.LeaseGained, Subject: fmt.Sprintf("shard %d", s.id), Version: group.Version})
+	}
+	if isFirst && l.OnEstablished != nil {
+		l.OnEstablished(s.id, group)
+	}
+	return true
+}
+
+// isContinued tells whether nobody else can have been the owner since this
+// node last was: its lease has not run out, or each member of this majority
+// last vouched for this process.
+func (l *Leaser) isContinued(s *shard, got replies) bool {
+	if s.current == nil || s.ended {
+		return false
+	}
+	if !s.released && s.asked.Age() < term {
+		return true
+	}
+	for _, r := range got {
+		if r.Granted && (r.Owner != l.Self || r.OwnerProcess != l.Process) {
+			return false
+		}
+	}
+	return true
+}
+
+// lose gives back partial support, so that it does not keep another candidate
+// waiting.
+func (l *Leaser) lose(s *shard, group sharder.Group, granted int) {
+	l.mu.Lock()
+	isExpired := s.asked.IsZero() || s.asked.Age() >= term
+	l.mu.Unlock()
+	if isExpired && granted > 0 {
+		l.ask(group, s, peerwire.WitnessKind_WITNESS_KIND_RELEASE)
+	}
+}
+
+// giveUp ends the ownership and tells the members.
+func (l *Leaser) giveUp(s *shard) {
+	l.mu.Lock()
+	s.tending = false
+	owned := s.current != nil && !s.released
+	s.released = true
+	l.mu.Unlock()
+	if !owned {
+		return
+	}
+	l.Audit.Record(auditor.Entry{Kind: auditor.LeaseLost, Subject: fmt.Sprintf("shard %d", s.id)})
+	if group, ok := l.Group(s.id); ok {
+		l.ask(group, s, peerwire.WitnessKind_WITNESS_KIND_RELEASE)
+	}
+}
+
+func (l *Leaser) isUnused(s *shard) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return s.used.Age() > idleFor
+}
+
+func (l *Leaser) isSupportingOther(s *shard) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	owner, left := s.supported()
+	return left > 0 && (owner != l.Self || s.ownerProcess != l.Process)
+}
+
+// ask puts one question to all members of the owner's own group.
+func (l *Leaser) ask(group sharder.Group, s *shard, kind peerwire.WitnessKind) replies {
+	return l.askFor(group, s, group, kind)
+}
+
+// askFor puts one question about a group to all members of another and returns
+// the answers that came in time.
+func (l *Leaser) askFor(members sharder.Group, s *shard, group sharder.Group, kind peerwire.WitnessKind) replies {
+	l.mu.Lock()
+	request := &peerwire.WitnessRequest{
+		Shard:       uint32(s.id),
+		Kind:        kind,
+		Vm:          l.Self,
+		Process:     l.Process,
+		Group:       wireGroup(group),
+		Established: wireGroup(s.established),
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(l.ctx), askTimeout)
+	defer cancel()
+	var (
+		mu  sync.Mutex
+		wg  sync.WaitGroup
+		got = make(replies)
+	)
+	for _, vm := range members.Members {
+		wg.Go(func() {
+			r, err := l.askOne(ctx, vm, request)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			got[vm] = r
+		})
+	}
+	wg.Wait()
+	return got
+}
+
+func (l *Leaser) askOne(ctx context.Context, vm string, r *peerwire.WitnessRequest) (*peerwire.WitnessResponse, error) {
+	if vm == l.Self {
+		return l.Witness(ctx, r), nil
+	}
+	response, err := l.Peer(vm).Witness(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, fmt.Errorf("ask witness %s: %w", vm, err)
+	}
+	return response.Msg, nil
+}
+
+func (l *Leaser) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-l.ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/apricotd/internal/process/limiter/limiter.go
+++ b/apricotd/internal/process/limiter/limiter.go
@@ -1,48 +1,140 @@
-// Package limiter holds organisations to their rates.
+// Package limiter holds organisations to their rates across the whole fleet.
+//
+// It guarantees that in any interval an organisation has no more requests
+// admitted, on all nodes together, than its burst plus its rate times the
+// interval. The tokens of an organisation are minted in one place at a time:
+// the owner of the bucket's shard (see package leaser). Every other node
+// borrows, and a token that is lost on the way is lost.
+//
+// A borrowed token must be spent within a short time of asking. The owner
+// counts a token as outstanding for that long, and never lets the tokens in
+// the bucket and those outstanding exceed the burst together; so tokens in
+// flight cannot add to the burst. A new owner begins with an empty bucket.
+//
+// # Usage
+//
+//	l := &limiter.Limiter{Leaser: leaser, Group: group, Peer: peer, Config: config, Self: id}
+//	err := l.Take(ctx, organisation) // nil, *ExceededError or *UnavailableError
+//	response := l.Lend(request)      // for peers
+//
+// Requests that arrive while an exchange with the owner is under way share the
+// next one, so a node exchanges at most one message at a time for each bucket.
 package limiter
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"sync"
 	"time"
 
+	"apricotrudder.dev/apricotd/internal/process/leaser"
 	"apricotrudder.dev/apricotd/version/checker"
+	"apricotrudder.dev/apricotd/version/sharder"
+	"apricotrudder.dev/wire/peerwire/peerwireconnect"
+)
+
+const (
+	// bucketRate is the rate above which an organisation's rate is divided
+	// over several buckets, so that no owner is asked too often.
+	bucketRate = 500.0 // requests per second
+	// maxWait is how long a request waits for its token.
+	maxWait = 400 * time.Millisecond
+	// borrowerIdle is how long an unused borrower is kept.
+	borrowerIdle = time.Minute
 )
 
 type (
-	// A Limiter gives out the tokens of organisations.
+	// A Limiter borrows tokens for this node's callers and lends those of the
+	// shards that this node owns. Its exported fields must be set before use.
 	Limiter struct {
-		mu      sync.Mutex
-		buckets map[string]*bucket
+		Self   string // VM
+		Leaser *leaser.Leaser
+		// Group returns the group of a shard by the VM list in force.
+		Group func(sharder.Shard) (sharder.Group, bool)
+		Peer  func(vm string) peerwireconnect.PeerServiceClient
+		// Config returns the tables in force, nil before the first.
+		Config func() *checker.Config
+
+		mu        sync.Mutex
+		borrowers map[string]*borrower
+		buckets   map[string]*bucket
+		nextSweep time.Time
+	}
+
+	// An ExceededError reports that the organisation has used its rate.
+	ExceededError struct {
+		Organisation string
+		RetryAfter   time.Duration
 	}
 
-	bucket struct {
-		tokens float64
-		at     time.Time
+	// An UnavailableError reports that no owner of the organisation's tokens
+	// answered in time.
+	UnavailableError struct {
+		Organisation string
+		RetryAfter   time.Duration
 	}
 )
 
-// Take takes one token. If there is none it returns how long to wait.
-func (l *Limiter) Take(_ context.Context, o *checker.Organisation) (retryAfter time.Duration, ok bool) {
+// Error returns the organisation and the cause.
+func (e *ExceededError) Error() string {
+	return fmt.Sprintf("organisation %s has used its rate", e.Organisation)
+}
+
+// Error returns the organisation and the cause.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("the tokens of organisation %s cannot be reached", e.Organisation)
+}
+
+// Take takes one token of the organisation.
+func (l *Limiter) Take(ctx context.Context, o *checker.Organisation) error {
+	n := bucketsOf(o)
+	first := int(hash(l.Self) % uint64(n))
+	err := l.borrower(o.Name, first).take(ctx)
+	if _, exceeded := err.(*ExceededError); exceeded && n > 1 {
+		return l.borrower(o.Name, (first+1)%n).take(ctx)
+	}
+	return err
+}
+
+// bucketsOf returns the number of buckets over which a rate is divided. Each
+// keeps a burst of at least one request.
+func bucketsOf(o *checker.Organisation) int {
+	n := math.Ceil(o.Rate / bucketRate)
+	return int(max(1, min(n, math.Floor(o.Burst))))
+}
+
+func (l *Limiter) borrower(organisation string, index int) *borrower {
+	key := bucketKey(organisation, index)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.buckets == nil {
-		l.buckets = make(map[string]*bucket)
+	if l.borrowers == nil {
+		l.borrowers = make(map[string]*borrower)
 	}
-	now := time.Now()
-	b := l.buckets[o.Name]
+	l.sweep()
+	b := l.borrowers[key]
 	if b == nil {
-		b = &bucket{tokens: o.Burst, at: now}
-		l.buckets[o.Name] = b
+		b = &borrower{limiter: l, organisation: organisation, index: index, shard: sharder.ShardOf(key)}
+		l.borrowers[key] = b
 	}
-	b.tokens = min(o.Burst, b.tokens+o.Rate*now.Sub(b.at).Seconds())
-	b.at = now
-	if b.tokens >= 1 {
-		b.tokens--
-		return 0, true
+	b.lastUsed = time.Now()
+	return b
+}
+
+// sweep forgets borrowers that have not been used for a while.
+func (l *Limiter) sweep() {
+	now := time.Now()
+	if now.Before(l.nextSweep) {
+		return
 	}
-	if o.Rate == 0 {
-		return time.Minute, false
+	l.nextSweep = now.Add(borrowerIdle)
+	for key, b := range l.borrowers {
+		if now.Sub(b.lastUsed) > borrowerIdle {
+			delete(l.borrowers, key)
+		}
 	}
-	return time.Duration((1 - b.tokens) / o.Rate * float64(time.Second)), false
+}
+
+func bucketKey(organisation string, index int) string {
+	return fmt.Sprintf("organisation/%s/%d", organisation, index)
 }
--- a/apricotd/internal/process/node/node.go
+++ b/apricotd/internal/process/node/node.go
@@ -31,6 +31,7 @@
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/auditor"
 	"apricotrudder.dev/apricotd/internal/process/balancer"
+	"apricotrudder.dev/apricotd/internal/process/leaser"
 	"apricotrudder.dev/apricotd/internal/process/limiter"
 	"apricotrudder.dev/apricotd/internal/process/loader"
 	"apricotrudder.dev/apricotd/internal/process/prober"
@@ -40,6 +41,7 @@
 	"apricotrudder.dev/apricotd/internal/request/router"
 	"apricotrudder.dev/apricotd/version/checker"
 	"apricotrudder.dev/apricotd/version/locator"
+	"apricotrudder.dev/apricotd/version/sharder"
 )
 
 const (
@@ -78,6 +80,9 @@
 		tracker    *tracker.Tracker
 		prober     *prober.Prober
 		spreader   *spreader.Spreader
+		sharder    atomic.Pointer[sharder.Sharder]
+		leaser     *leaser.Leaser
+		limiter    *limiter.Limiter
 		router     *router.Router
 		executor   *executor.Executor
 		servers    servers
@@ -108,6 +113,7 @@
 	case err = <-failed:
 	}
 	n.drain()
+	n.leaser.Stop()
 	stop()
 	n.close()
 	wg.Wait()
@@ -134,6 +140,7 @@
 		Pool:       n.pool,
 	}
 	n.buildSpreader()
+	n.buildOwnership()
 	n.buildRequestPath()
 	n.registerMetrics()
 }
@@ -163,6 +170,26 @@
 	}
 }
 
+func (n *Node) buildOwnership() {
+	n.leaser = &leaser.Leaser{
+		Self:          n.Settings.VM,
+		Process:       n.process,
+		Group:         n.group,
+		Peer:          n.forwarder.Peer,
+		Audit:         n.audit,
+		OnEstablished: n.spreader.SpreadGroup,
+	}
+	n.leaser.Start()
+	n.spreader.OnGroup = n.leaser.Learn
+	n.limiter = &limiter.Limiter{
+		Self:   n.Settings.VM,
+		Leaser: n.leaser,
+		Group:  n.group,
+		Peer:   n.forwarder.Peer,
+		Config: n.config,
+	}
+}
+
 func (n *Node) buildRequestPath() {
 	s := n.Settings
 	n.executor = &executor.Executor{
@@ -179,7 +206,7 @@
 	n.router = &router.Router{
 		View:      n.view.Load,
 		Current:   n.spreader.Current,
-		Limiter:   &limiter.Limiter{},
+		Limiter:   n.limiter,
 		Balancer:  &balancer.Balancer{DataCentre: s.DataCentre, Region: s.Region},
 		Budget:    &router.Budget{},
 		Tracker:   n.tracker,
@@ -199,6 +226,7 @@
 
 func (n *Node) setList(list *locator.List) {
 	n.list.Store(list)
+	n.sharder.Store(sharder.New(list))
 	n.router.Balancer.SetList(list)
 	n.forwarder.Forget(func(id string) bool {
 		_, ok := list.VM(id)
@@ -206,6 +234,24 @@
 	})
 }
 
+// group returns the group of a shard by the VM list in force, once peers have
+// had the chance to correct it.
+func (n *Node) group(id sharder.Shard) (sharder.Group, bool) {
+	s := n.sharder.Load()
+	if s == nil || !n.spreader.Current().Ready {
+		return sharder.Group{}, false
+	}
+	return s.Group(id), true
+}
+
+func (n *Node) config() *checker.Config {
+	v := n.view.Load()
+	if v == nil {
+		return nil
+	}
+	return v.Config
+}
+
 func (n *Node) pool() *checker.Pool {
 	v := n.view.Load()
 	if v == nil {
--- a/apricotd/internal/process/node/peers.go
+++ b/apricotd/internal/process/node/peers.go
@@ -48,6 +48,16 @@
 	return nil
 }
 
+// Borrow lends tokens of a bucket that this node owns.
+func (p *peerService) Borrow(_ context.Context, r *connect.Request[peerwire.BorrowRequest]) (*connect.Response[peerwire.BorrowResponse], error) {
+	return connect.NewResponse(p.node.limiter.Lend(r.Msg)), nil
+}
+
+// Witness gives this node's word on who owns a shard.
+func (p *peerService) Witness(ctx context.Context, r *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error) {
+	return connect.NewResponse(p.node.leaser.Witness(ctx, r.Msg)), nil
+}
+
 // Status tells what the node knows of itself.
 func (p *peerService) Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error) {
 	config, vms := p.node.spreader.Versions()
--- a/apricotd/internal/process/spreader/follower.go
+++ b/apricotd/internal/process/spreader/follower.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/wire/peerwire"
 )
 
@@ -21,9 +22,9 @@
 			s.sleep(ctx, platformWait, s.changes())
 			continue
 		}
-		begun := now()
+		begun := timekeeper.Now()
 		err := s.watch(ctx, id, attempt > 0)
-		if begun.age() > silence {
+		if begun.Age() > silence {
 			attempt = 0
 		} else {
 			attempt++
@@ -62,25 +63,25 @@
 	defer cancel()
 	guard := time.AfterFunc(silence, cancel)
 	defer guard.Stop()
-	begun := now()
+	begun := timekeeper.Now()
 	stream, err := s.Peer(id).Watch(ctx, connect.NewRequest(s.watchRequest()))
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", id, err)
 	}
 	defer stream.Close()
-	last := now()
+	last := timekeeper.Now()
 	for stream.Receive() {
 		// A gap means that this process or the path was held up, so what was
 		// received may be as old as the gap.
-		if last.age() > silence {
-			return fmt.Errorf("watch %s: got a gap of %v, want at most %v", id, last.age(), silence)
+		if last.Age() > silence {
+			return fmt.Errorf("watch %s: got a gap of %v, want at most %v", id, last.Age(), silence)
 		}
-		last = now()
+		last = timekeeper.Now()
 		guard.Reset(silence)
 		if !s.receive(stream.Msg(), id) {
 			return fmt.Errorf("watch %s: got a change that does not fit", id)
 		}
-		if second && begun.age() > 10*silence || !second && !s.isPreferred(id) {
+		if second && begun.Age() > 10*silence || !second && !s.isPreferred(id) {
 			return nil
 		}
 	}
@@ -110,8 +111,9 @@
 	if m.Vms != nil {
 		ok = s.adoptVMs(m.Vms, id) && ok
 	}
+	s.receiveGroups(m.Groups)
 	for _, c := range m.Confirmations {
-		at := now().earlier(c.Age.AsDuration())
+		at := timekeeper.Now().Earlier(c.Age.AsDuration())
 		if c.PlatformDown {
 			s.reportDown(c.DataCentre, at)
 			continue
@@ -129,9 +131,10 @@
 	s             *Spreader
 	configVersion uint64
 	vmsVersion    uint64
-	confirmedAt   time.Time
-	downAt        map[string]time.Time
+	confirmedAt   timekeeper.Moment
+	downAt        map[string]timekeeper.Moment
 	sentAt        time.Time
+	groupsSent    uint64 // sequence number
 }
 
 // Watch serves one watching peer until its context ends.
@@ -160,7 +163,7 @@
 		s:             s,
 		configVersion: r.ConfigVersion,
 		vmsVersion:    r.VmsVersion,
-		downAt:        make(map[string]time.Time),
+		downAt:        make(map[string]timekeeper.Moment),
 	}
 }
 
@@ -179,7 +182,9 @@
 		m.Vms = s.vms.since(w.vmsVersion)
 		w.vmsVersion = s.vms.version
 	}
-	isEmpty := m.Config == nil && m.Vms == nil && len(m.Confirmations) == 0
+	m.Groups = s.groups.since(w.groupsSent)
+	w.groupsSent = s.groups.sequence
+	isEmpty := len(m.Groups) == 0 && m.Config == nil && m.Vms == nil && len(m.Confirmations) == 0
 	if isEmpty && time.Since(w.sentAt) < heartbeat {
 		return nil, s.changed
 	}
@@ -194,21 +199,21 @@
 	var out []*peerwire.Confirmation
 	newest := ""
 	for name, c := range w.s.confirmed {
-		if !c.at.isZero() && c.version <= w.s.config.version && (newest == "" || c.at.monotonic.After(w.s.confirmed[newest].at.monotonic)) {
+		if !c.at.IsZero() && c.version <= w.s.config.version && (newest == "" || c.at.Sub(w.s.confirmed[newest].at) > 0) {
 			newest = name
 		}
-		if !c.downAt.isZero() && c.downAt.age() < downFor && c.downAt.monotonic.Sub(w.downAt[name]) > confirmationStep {
-			w.downAt[name] = c.downAt.monotonic
-			out = append(out, &peerwire.Confirmation{DataCentre: name, Age: durationpb.New(c.downAt.age()), PlatformDown: true})
+		if !c.downAt.IsZero() && c.downAt.Age() < downFor && c.downAt.Sub(w.downAt[name]) > confirmationStep {
+			w.downAt[name] = c.downAt
+			out = append(out, &peerwire.Confirmation{DataCentre: name, Age: durationpb.New(c.downAt.Age()), PlatformDown: true})
 		}
 	}
 	if newest == "" {
 		return out
 	}
 	c := w.s.confirmed[newest]
-	if c.at.monotonic.Sub(w.confirmedAt) < confirmationStep {
+	if c.at.Sub(w.confirmedAt) < confirmationStep {
 		return out
 	}
-	w.confirmedAt = c.at.monotonic
-	return append(out, &peerwire.Confirmation{DataCentre: newest, Age: durationpb.New(c.at.age()), ConfigVersion: c.version})
+	w.confirmedAt = c.at
+	return append(out, &peerwire.Confirmation{DataCentre: newest, Age: durationpb.New(c.at.Age()), ConfigVersion: c.version})
 }
--- /dev/null
+++ b/apricotd/internal/process/spreader/groups.go
@@ -0,0 +1,76 @@
+package spreader
+
+import (
+	"apricotrudder.dev/apricotd/version/sharder"
+	"apricotrudder.dev/wire/peerwire"
+)
+
+type (
+	// groups are the newest groups known to have had an owner, so that a VM
+	// which joins a group learns of the group before it. Versions decide
+	// between two; no order of arrival matters.
+	groups struct {
+		known    map[sharder.Shard]knownGroup
+		sequence uint64 // of the last change on this node
+	}
+
+	knownGroup struct {
+		sharder.Group
+		sequence uint64
+	}
+)
+
+// SpreadGroup tells all nodes that a group has had an owner.
+func (s *Spreader) SpreadGroup(id sharder.Shard, g sharder.Group) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.groups.put(id, g) {
+		s.notify()
+	}
+}
+
+func (g *groups) put(id sharder.Shard, group sharder.Group) bool {
+	if g.known == nil {
+		g.known = make(map[sharder.Shard]knownGroup)
+	}
+	if group.Version <= g.known[id].Version {
+		return false
+	}
+	g.sequence++
+	g.known[id] = knownGroup{group, g.sequence}
+	return true
+}
+
+// since returns the groups that changed after a sequence number.
+func (g *groups) since(sequence uint64) []*peerwire.ShardGroup {
+	if sequence == g.sequence {
+		return nil
+	}
+	var out []*peerwire.ShardGroup
+	for id, known := range g.known {
+		if known.sequence > sequence {
+			out = append(out, &peerwire.ShardGroup{
+				Shard: uint32(id),
+				Group: &peerwire.Group{Version: known.Version, Members: known.Members},
+			})
+		}
+	}
+	return out
+}
+
+// receiveGroups takes in what a peer knows.
+func (s *Spreader) receiveGroups(received []*peerwire.ShardGroup) {
+	for _, r := range received {
+		id := sharder.Shard(r.Shard)
+		group := sharder.Group{Version: r.Group.GetVersion(), Members: r.Group.GetMembers()}
+		s.mu.Lock()
+		isNew := s.groups.put(id, group)
+		if isNew {
+			s.notify()
+		}
+		s.mu.Unlock()
+		if isNew && s.OnGroup != nil {
+			s.OnGroup(id, group)
+		}
+	}
+}
--- a/apricotd/internal/process/spreader/reader.go
+++ b/apricotd/internal/process/spreader/reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/process/auditor"
+	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/version/checker"
 )
 
@@ -98,8 +99,8 @@
 		return 0, platformWait
 	}
 	share := time.Duration(s.place.vms) * time.Second / platformCallRate
-	if s.lastOwnRead.isZero() || s.lastOwnRead.age() > max(share, platformWait) {
-		s.lastOwnRead = now()
+	if s.lastOwnRead.IsZero() || s.lastOwnRead.Age() > max(share, platformWait) {
+		s.lastOwnRead = timekeeper.Now()
 		return 0, 0
 	}
 	return 0, platformWait
@@ -123,7 +124,7 @@
 }
 
 func (r *folderReader) read(ctx context.Context, wait time.Duration) error {
-	asked := now()
+	asked := timekeeper.Now()
 	change, err := r.s.Platform.Read(ctx, r.folder, r.version, wait)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -172,7 +173,7 @@
 }
 
 func (r *folderReader) fail(detail string) {
-	r.s.reportDown(r.s.Self.DataCentre, now())
+	r.s.reportDown(r.s.Self.DataCentre, timekeeper.Now())
 	if r.failing {
 		return
 	}
--- a/apricotd/internal/process/spreader/rowset.go
+++ b/apricotd/internal/process/spreader/rowset.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
-	"time"
 
 	"apricotrudder.dev/wire/peerwire"
 )
@@ -174,29 +173,3 @@
 	}
 	return out
 }
-
-// A moment is a time on both clocks. The monotonic clock may stand still while
-// a VM is suspended, and the wall clock may be set, so an age is the larger of
-// the two differences.
-type moment struct {
-	monotonic time.Time
-	wall      time.Time
-}
-
-func now() moment {
-	t := time.Now()
-	return moment{monotonic: t, wall: t.Round(0)}
-}
-
-func (m moment) isZero() bool { return m.monotonic.IsZero() }
-
-// age returns how long ago m was.
-func (m moment) age() time.Duration {
-	t := time.Now()
-	return max(t.Sub(m.monotonic), t.Round(0).Sub(m.wall))
-}
-
-// earlier returns the moment d before m.
-func (m moment) earlier(d time.Duration) moment {
-	return moment{monotonic: m.monotonic.Add(-d), wall: m.wall.Add(-d)}
-}
--- a/apricotd/internal/process/spreader/spreader.go
+++ b/apricotd/internal/process/spreader/spreader.go
@@ -32,8 +32,10 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"apricotrudder.dev/apricotd/internal/process/auditor"
+	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/version/checker"
 	"apricotrudder.dev/apricotd/version/locator"
+	"apricotrudder.dev/apricotd/version/sharder"
 	"apricotrudder.dev/wire/peerwire"
 	"apricotrudder.dev/wire/peerwire/peerwireconnect"
 )
@@ -84,6 +86,8 @@
 		Metrics  *metrics.Set
 		OnConfig func(*checker.Config)
 		OnList   func(*locator.List)
+		// OnGroup is told of groups that have had an owner.
+		OnGroup func(sharder.Shard, sharder.Group)
 
 		mu        sync.Mutex
 		config    *rowset
@@ -93,19 +97,20 @@
 		place     place
 		confirmed map[string]confirmation // by data centre
 		changed   chan struct{}           // closed at every change
-		lastPulse moment
-		started   moment
+		lastPulse timekeeper.Moment
+		started   timekeeper.Moment
 		heard     bool // a peer has told its state since the start
 		wasFresh  bool
 		// lastOwnRead is when a node that is no reader last read the platform.
-		lastOwnRead moment
+		lastOwnRead timekeeper.Moment
+		groups      groups
 	}
 
 	// A confirmation is what is known of one data centre's readers.
 	confirmation struct {
-		at      moment // when the platform last answered; zero: never
-		version uint64 // accepted by the reader at that time
-		downAt  moment // when the platform last failed; zero: never
+		at      timekeeper.Moment // when the platform last answered; zero: never
+		version uint64            // accepted by the reader at that time
+		downAt  timekeeper.Moment // when the platform last failed; zero: never
 	}
 
 	// Freshness tells how current the tables in force are.
@@ -150,8 +155,8 @@
 	s.vms = &rowset{}
 	s.confirmed = make(map[string]confirmation)
 	s.changed = make(chan struct{})
-	s.lastPulse = now()
-	s.started = now()
+	s.lastPulse = timekeeper.Now()
+	s.started = timekeeper.Now()
 }
 
 // Versions returns the versions of the tables and of the VM list in force.
@@ -177,16 +182,16 @@
 	if s.cfg == nil || s.list == nil {
 		return f
 	}
-	f.Ready = s.heard || s.started.age() > peerPatience || len(s.place.candidates) == 0
-	if s.lastPulse.age() > pauseLimit {
+	f.Ready = s.heard || s.started.Age() > peerPatience || len(s.place.candidates) == 0
+	if s.lastPulse.Age() > pauseLimit {
 		return f
 	}
 	down := 0
 	for _, c := range s.confirmed {
-		if !c.at.isZero() && c.version <= s.config.version {
-			f.Age = min(f.Age, c.at.age())
+		if !c.at.IsZero() && c.version <= s.config.version {
+			f.Age = min(f.Age, c.at.Age())
 		}
-		if !c.downAt.isZero() && c.downAt.age() < downFor {
+		if !c.downAt.IsZero() && c.downAt.Age() < downFor {
 			down++
 		}
 	}
@@ -206,13 +211,13 @@
 		case <-ticker.C:
 		}
 		s.mu.Lock()
-		if gap := s.lastPulse.age(); gap > pauseLimit {
+		if gap := s.lastPulse.Age(); gap > pauseLimit {
 			// What streams delivered during the pause may be as old as the
 			// pause, so nothing confirmed before it counts any more.
 			s.confirmed = make(map[string]confirmation)
 			s.notify()
 		}
-		s.lastPulse = now()
+		s.lastPulse = timekeeper.Now()
 		f := s.current()
 		turned := f.Ready && f.MayServeKeys() != s.wasFresh
 		if turned {
@@ -234,11 +239,11 @@
 }
 
 // confirm records that a reader of a data centre got an answer.
-func (s *Spreader) confirm(dataCentre string, at moment, version uint64) {
+func (s *Spreader) confirm(dataCentre string, at timekeeper.Moment, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.confirmed[dataCentre]
-	if at.monotonic.After(c.at.monotonic) {
+	if at.Sub(c.at) > 0 {
 		c.at = at
 		c.version = version
 		s.confirmed[dataCentre] = c
@@ -247,11 +252,11 @@
 }
 
 // reportDown records that the readers of a data centre cannot use the platform.
-func (s *Spreader) reportDown(dataCentre string, at moment) {
+func (s *Spreader) reportDown(dataCentre string, at timekeeper.Moment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.confirmed[dataCentre]
-	if at.monotonic.Sub(c.downAt.monotonic) > confirmationStep {
+	if at.Sub(c.downAt) > confirmationStep {
 		c.downAt = at
 		s.confirmed[dataCentre] = c
 		s.notify()
--- a/apricotd/internal/request/reporter/reporter.go
+++ b/apricotd/internal/request/reporter/reporter.go
@@ -34,6 +34,7 @@
 	IdempotencyKeyMissing Reason = "idempotencyKeyMissing"
 	IdempotencyKeyReused  Reason = "idempotencyKeyReused"
 	RateExceeded          Reason = "rateExceeded"
+	RateUnavailable       Reason = "rateUnavailable"
 	Overloaded            Reason = "overloaded"
 	DeadlineExceeded      Reason = "deadlineExceeded"
 	Cancelled             Reason = "cancelled"
--- a/apricotd/internal/request/router/callers.go
+++ b/apricotd/internal/request/router/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotrudder.dev/apricotd/internal/process/limiter"
 	"apricotrudder.dev/apricotd/internal/process/tracker"
 	"apricotrudder.dev/apricotd/internal/request/reporter"
 	"apricotrudder.dev/apricotd/internal/request/translator"
@@ -195,13 +196,17 @@
 	if o == nil {
 		return nil
 	}
-	retryAfter, ok := r.Limiter.Take(hr.Context(), o)
-	if ok {
+	err := r.Limiter.Take(hr.Context(), o)
+	var exceeded *limiter.ExceededError
+	switch {
+	case err == nil:
 		return nil
+	case errors.As(err, &exceeded):
+		return reporter.Refused{
+			Reason:     reporter.RateExceeded,
+			Detail:     fmt.Sprintf("organisation %s has used its rate of %g requests per second", o.Name, o.Rate),
+			RetryAfter: exceeded.RetryAfter,
+		}
 	}
-	return reporter.Refused{
-		Reason:     reporter.RateExceeded,
-		Detail:     fmt.Sprintf("organisation %s has used its rate of %g requests per second", o.Name, o.Rate),
-		RetryAfter: retryAfter,
-	}
+	return reporter.Refused{Reason: reporter.RateUnavailable, Detail: err.Error(), RetryAfter: time.Second}
 }
--- a/apricotd/internal/request/router/router.go
+++ b/apricotd/internal/request/router/router.go
@@ -44,8 +44,9 @@
 
 	// A Limiter gives out the tokens of organisations.
 	Limiter interface {
-		// Take takes one token. If there is none it returns how long to wait.
-		Take(ctx context.Context, o *checker.Organisation) (retryAfter time.Duration, ok bool)
+		// Take takes one token. It fails with *limiter.ExceededError or
+		// *limiter.UnavailableError.
+		Take(ctx context.Context, o *checker.Organisation) error
 	}
 
 	// A Sender carries a request to the node of a VM. An error means that the
--- a/standin/launcher/launcher.go
+++ b/standin/launcher/launcher.go
@@ -39,6 +39,10 @@
 	readyTimeout = 20 * time.Second
 	readyPoll    = 100 * time.Millisecond
 	stopTimeout  = 10 * time.Second
+	// settleTime lets a cold fleet find owners for its buckets: no node vouches
+	// for an owner before every lease that an earlier process of it may have
+	// supported has run out.
+	settleTime = 3 * time.Second
 	callTimeout  = 4 * time.Second
 	validity     = 24 * time.Hour
 )
@@ -325,6 +329,7 @@
 			time.Sleep(readyPoll)
 		}
 	}
+	time.Sleep(settleTime)
 	return nil
 }
 
--- a/wire/peerwire/peerwireconnect/peer.connect.go
+++ b/wire/peerwire/peerwireconnect/peer.connect.go
@@ -41,8 +41,8 @@
 	PeerServiceWatchProcedure = "/apricotrudder.peer.v1.PeerService/Watch"
 	// PeerServiceBorrowProcedure is the fully-qualified name of the PeerService's Borrow RPC.
 	PeerServiceBorrowProcedure = "/apricotrudder.peer.v1.PeerService/Borrow"
-	// PeerServiceVouchProcedure is the fully-qualified name of the PeerService's Vouch RPC.
-	PeerServiceVouchProcedure = "/apricotrudder.peer.v1.PeerService/Vouch"
+	// PeerServiceWitnessProcedure is the fully-qualified name of the PeerService's Witness RPC.
+	PeerServiceWitnessProcedure = "/apricotrudder.peer.v1.PeerService/Witness"
 	// PeerServiceStatusProcedure is the fully-qualified name of the PeerService's Status RPC.
 	PeerServiceStatusProcedure = "/apricotrudder.peer.v1.PeerService/Status"
 )
@@ -54,10 +54,10 @@
 	// Watch streams the published state that the receiving node holds, first
 	// what the watcher lacks and then every change.
 	Watch(context.Context, *connect.Request[peerwire.WatchRequest]) (*connect.ServerStreamForClient[peerwire.WatchResponse], error)
-	// Borrow takes tokens of one organisation from the bucket's owner.
+	// Borrow takes tokens of one bucket from its owner.
 	Borrow(context.Context, *connect.Request[peerwire.BorrowRequest]) (*connect.Response[peerwire.BorrowResponse], error)
-	// Vouch asks a witness of a shard to renew the owner's lease.
-	Vouch(context.Context, *connect.Request[peerwire.VouchRequest]) (*connect.Response[peerwire.VouchResponse], error)
+	// Witness asks a member of a shard's group for its word.
+	Witness(context.Context, *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error)
 	// Status tells what the node knows of itself.
 	Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error)
 }
@@ -91,10 +91,10 @@
 			connect.WithSchema(peerServiceMethods.ByName("Borrow")),
 			connect.WithClientOptions(opts...),
 		),
-		vouch: connect.NewClient[peerwire.VouchRequest, peerwire.VouchResponse](
+		witness: connect.NewClient[peerwire.WitnessRequest, peerwire.WitnessResponse](
 			httpClient,
-			baseURL+PeerServiceVouchProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Vouch")),
+			baseURL+PeerServiceWitnessProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Witness")),
 			connect.WithClientOptions(opts...),
 		),
 		status: connect.NewClient[peerwire.StatusRequest, peerwire.StatusResponse](
@@ -111,7 +111,7 @@
 	forward *connect.Client[peerwire.ForwardRequest, peerwire.ForwardResponse]
 	watch   *connect.Client[peerwire.WatchRequest, peerwire.WatchResponse]
 	borrow  *connect.Client[peerwire.BorrowRequest, peerwire.BorrowResponse]
-	vouch   *connect.Client[peerwire.VouchRequest, peerwire.VouchResponse]
+	witness *connect.Client[peerwire.WitnessRequest, peerwire.WitnessResponse]
 	status  *connect.Client[peerwire.StatusRequest, peerwire.StatusResponse]
 }
 
@@ -130,9 +130,9 @@
 	return c.borrow.CallUnary(ctx, req)
 }
 
-// Vouch calls apricotrudder.peer.v1.PeerService.Vouch.
-func (c *peerServiceClient) Vouch(ctx context.Context, req *connect.Request[peerwire.VouchRequest]) (*connect.Response[peerwire.VouchResponse], error) {
-	return c.vouch.CallUnary(ctx, req)
+// Witness calls apricotrudder.peer.v1.PeerService.Witness.
+func (c *peerServiceClient) Witness(ctx context.Context, req *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error) {
+	return c.witness.CallUnary(ctx, req)
 }
 
 // Status calls apricotrudder.peer.v1.PeerService.Status.
@@ -147,10 +147,10 @@
 	// Watch streams the published state that the receiving node holds, first
 	// what the watcher lacks and then every change.
 	Watch(context.Context, *connect.Request[peerwire.WatchRequest], *connect.ServerStream[peerwire.WatchResponse]) error
-	// Borrow takes tokens of one organisation from the bucket's owner.
+	// Borrow takes tokens of one bucket from its owner.
 	Borrow(context.Context, *connect.Request[peerwire.BorrowRequest]) (*connect.Response[peerwire.BorrowResponse], error)
-	// Vouch asks a witness of a shard to renew the owner's lease.
-	Vouch(context.Context, *connect.Request[peerwire.VouchRequest]) (*connect.Response[peerwire.VouchResponse], error)
+	// Witness asks a member of a shard's group for its word.
+	Witness(context.Context, *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error)
 	// Status tells what the node knows of itself.
 	Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error)
 }
@@ -180,10 +180,10 @@
 		connect.WithSchema(peerServiceMethods.ByName("Borrow")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServiceVouchHandler := connect.NewUnaryHandler(
-		PeerServiceVouchProcedure,
-		svc.Vouch,
-		connect.WithSchema(peerServiceMethods.ByName("Vouch")),
+	peerServiceWitnessHandler := connect.NewUnaryHandler(
+		PeerServiceWitnessProcedure,
+		svc.Witness,
+		connect.WithSchema(peerServiceMethods.ByName("Witness")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerServiceStatusHandler := connect.NewUnaryHandler(
@@ -200,8 +200,8 @@
 			peerServiceWatchHandler.ServeHTTP(w, r)
 		case PeerServiceBorrowProcedure:
 			peerServiceBorrowHandler.ServeHTTP(w, r)
-		case PeerServiceVouchProcedure:
-			peerServiceVouchHandler.ServeHTTP(w, r)
+		case PeerServiceWitnessProcedure:
+			peerServiceWitnessHandler.ServeHTTP(w, r)
 		case PeerServiceStatusProcedure:
 			peerServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -225,8 +225,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Borrow is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) Vouch(context.Context, *connect.Request[peerwire.VouchRequest]) (*connect.Response[peerwire.VouchResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Vouch is not implemented"))
+func (UnimplementedPeerServiceHandler) Witness(context.Context, *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Witness is not implemented"))
 }
 
 func (UnimplementedPeerServiceHandler) Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error) {
