--- a/standin/launcher/launcher.go
+++ b/standin/launcher/launcher.go
@@ -42,9 +42,9 @@
 	// settleTime lets a cold fleet find owners for its buckets: no node vouches
 	// for an owner before every lease that an earlier process of it may have
 	// supported has run out.
-	settleTime = 3 * time.Second
-	callTimeout  = 4 * time.Second
-	validity     = 24 * time.Hour
+	settleTime  = 3 * time.Second
+	callTimeout = 4 * time.Second
+	validity    = 24 * time.Hour
 )
 
 type (
