--- a/apricotd/internal/process/leaser/leaser.go
+++ b/apricotd/internal/process/leaser/leaser.go
@@ -88,6 +88,9 @@
 
 	// A Term is the uninterrupted ownership of a shard.
 	Term struct {
+		// Begun is when it began; nobody else has owned the shard since.
+		Begun timekeeper.Moment
+
 		leaser *Leaser
 		shard  *shard
 	}
--- a/apricotd/internal/process/leaser/owner.go
+++ b/apricotd/internal/process/leaser/owner.go
@@ -215,7 +215,7 @@
 	s.released = false
 	s.ended = false
 	if isNew {
-		s.current = &Term{leaser: l, shard: s}
+		s.current = &Term{Begun: timekeeper.Now(), leaser: l, shard: s}
 	}
 	s.establish(group)
 	l.mu.Unlock()
--- a/apricotd/internal/process/limiter/lender.go
+++ b/apricotd/internal/process/limiter/lender.go
@@ -19,6 +19,9 @@
 	// the new one yet.
 	settling = 4 * time.Second
 	minValid = 20 * time.Millisecond
+	// minPause keeps a borrower from asking again at once for a token that is
+	// missing by a rounding error.
+	minPause = time.Millisecond
 	maxValid = 250 * time.Millisecond
 )
 
@@ -88,7 +91,8 @@
 	return response
 }
 
-// bucket returns the account, empty if another node may have owned it since.
+// bucket returns the account. If another node may have owned it, it begins
+// empty with the term.
 func (l *Limiter) bucket(term *leaser.Term, o *checker.Organisation, index int) *bucket {
 	if l.buckets == nil {
 		l.buckets = make(map[string]*bucket)
@@ -97,7 +101,7 @@
 	now := shareOf(o, index)
 	b := l.buckets[key]
 	if b == nil || b.term != term {
-		b = &bucket{term: term, minted: timekeeper.Now(), rate: now}
+		b = &bucket{term: term, minted: term.Begun, rate: now}
 		l.buckets[key] = b
 	}
 	if b.rate != now {
@@ -160,5 +164,5 @@
 	if s.rate <= 0 {
 		return settling
 	}
-	return time.Duration(max(0, tokens) / s.rate * float64(time.Second))
+	return max(minPause, time.Duration(tokens/s.rate*float64(time.Second)))
 }
--- a/apricotd/internal/process/limiter/limiter.go
+++ b/apricotd/internal/process/limiter/limiter.go
@@ -14,6 +14,7 @@
 // # Usage
 //
 //	l := &limiter.Limiter{Leaser: leaser, Group: group, Peer: peer, Config: config, Self: id}
+//	go l.Run(ctx)
 //	err := l.Take(ctx, organisation) // nil, *ExceededError or *UnavailableError
 //	response := l.Lend(request)      // for peers
 //
@@ -42,6 +43,10 @@
 	maxWait = 400 * time.Millisecond
 	// borrowerIdle is how long an unused borrower is kept.
 	borrowerIdle = time.Minute
+	// holdInterval is how often the node confirms that it wants the shards
+	// that it should own; every holdRounds times it computes them anew.
+	holdInterval = 500 * time.Millisecond
+	holdRounds   = 4
 )
 
 type (
@@ -97,6 +102,46 @@
 	return err
 }
 
+// Run keeps the buckets that this node should own, so that they have an owner
+// before they are needed, until the context ends.
+func (l *Limiter) Run(ctx context.Context) {
+	ticker := time.NewTicker(holdInterval)
+	defer ticker.Stop()
+	var owned []sharder.Shard
+	for round := 0; ; round++ {
+		if round%holdRounds == 0 {
+			owned = l.shouldOwn()
+		}
+		for _, id := range owned {
+			l.Leaser.Hold(id)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// shouldOwn returns the shards of which this node is the first member.
+func (l *Limiter) shouldOwn() []sharder.Shard {
+	cfg := l.Config()
+	if cfg == nil {
+		return nil
+	}
+	var out []sharder.Shard
+	for _, o := range cfg.Organisations {
+		for index := range bucketsOf(o) {
+			id := sharder.ShardOf(bucketKey(o.Name, index))
+			group, ok := l.Group(id)
+			if ok && len(group.Members) > 0 && group.Members[0] == l.Self {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
+
 // bucketsOf returns the number of buckets over which a rate is divided. Each
 // keeps a burst of at least one request.
 func bucketsOf(o *checker.Organisation) int {
--- a/apricotd/internal/process/node/node.go
+++ b/apricotd/internal/process/node/node.go
@@ -105,6 +105,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = n.spreader.Run(background) })
 	wg.Go(func() { n.prober.Run(background) })
+	wg.Go(func() { n.limiter.Run(background) })
 	failed := n.serve()
 	n.Log.WithField("vm", n.Settings.VM).Info("node started")
 	var err error
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -80,6 +80,7 @@
 		slowness float64
 		draining bool
 		runs     map[string]int // by idempotency key
+		served   int            // requests begun
 		leaks    int            // requests that carried a key
 		reports  []report
 	}
@@ -130,6 +131,13 @@
 	return out
 }
 
+// Served returns the number of requests begun.
+func (r *Responder) Served() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.served
+}
+
 // Leaks returns the number of requests that carried a caller's key.
 func (r *Responder) Leaks() int {
 	r.mu.Lock()
@@ -263,6 +271,7 @@
 func (r *Responder) note(hr *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.served++
 	if key := hr.Header.Get(headerKey); key != "" {
 		r.runs[key]++
 	}
