--- a/apricotd/internal/process/leaser/leaser.go
+++ b/apricotd/internal/process/leaser/leaser.go
@@ -60,6 +60,11 @@
 	// forgottenAfter is how long a starting member waits for others before it
 	// takes their silence on earlier owners for the truth.
 	forgottenAfter = 10 * time.Second
+	// goneAfter is how long a member must be off the VM list before an owner
+	// does without it. Nodes that cannot show for staleLimit that their tables
+	// are current do not act as owners, so no old owner is left by then.
+	goneAfter  = 15 * time.Minute
+	staleLimit = 10 * time.Minute
 )
 
 type (
@@ -71,8 +76,13 @@
 		// Group returns the group of a shard by the VM list in force; false
 		// while the node cannot rely on its list.
 		Group func(sharder.Shard) (sharder.Group, bool)
-		Peer  func(vm string) peerwireconnect.PeerServiceClient
-		Audit *auditor.Auditor
+		// IsListed tells whether a VM stands on the VM list in force.
+		IsListed func(vm string) bool
+		// StaleFor returns for how long the node has not been able to show that
+		// its list is current; 0 if it can.
+		StaleFor func() time.Duration
+		Peer     func(vm string) peerwireconnect.PeerServiceClient
+		Audit    *auditor.Auditor
 		// OnEstablished spreads that a group has had an owner.
 		OnEstablished func(sharder.Shard, sharder.Group)
 
@@ -118,6 +128,8 @@
 		released bool // gave up the lease in force
 		ended    bool // another owner may have acted since
 		endings  int  // counts how often ended was set
+		// stuckSince is when promises began to be too few; zero: they are not.
+		stuckSince timekeeper.Moment
 	}
 )
 
@@ -199,7 +211,7 @@
 	// A member that has promised to support no older group than another one
 	// must not act on the older one itself.
 	group, ok := l.Group(s.id)
-	return ok && !s.isOutdated(group)
+	return ok && !s.isOutdated(group) && l.StaleFor() < staleLimit
 }
 
 func (l *Leaser) shard(id sharder.Shard) *shard {
--- a/apricotd/internal/process/leaser/owner.go
+++ b/apricotd/internal/process/leaser/owner.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	for version, before := range first {
-		if countSame(before, second[version]) < before.group.Majority() {
+		if countSame(before, second[version]) < before.needed {
 			return false
 		}
 	}
@@ -76,8 +76,8 @@
 
 // promises are the members of one group that gave their promise.
 type promises struct {
-	group   sharder.Group
 	process map[string]string // by VM
+	needed  int               // so many must still be the same processes at the end
 }
 
 // collect gets the promises of a majority of the owner's own group and of
@@ -95,14 +95,11 @@
 			continue
 		}
 		got := l.askFor(base, s, group, peerwire.WitnessKind_WITNESS_KIND_PROMISE)
-		p := promises{group: base, process: make(map[string]string)}
-		for vm, r := range got {
-			if r.Granted {
-				p.process[vm] = r.Process
-				wait = max(wait, leaseLeft(r, l, got))
-			}
+		for _, r := range got {
+			wait = max(wait, leaseLeft(r, l, got))
 		}
-		if len(p.process) < base.Majority() {
+		p, ok := l.promisesOf(s, base, got)
+		if !ok {
 			return nil, 0, false
 		}
 		collected[base.Version] = p
@@ -115,6 +112,43 @@
 	return collected, wait, len(due) == 0
 }
 
+// promisesOf returns the promises of a majority, or tells that there are too
+// few. When too many members have forgotten what they promised, the promises
+// of all of them stand in for those of a majority, but only after a wait: by
+// then an owner that relied on a forgotten promise has told of itself. Members
+// that have left the VM list count as gone only after a far longer time, which
+// is longer than a node that is cut off may act on an old list.
+func (l *Leaser) promisesOf(s *shard, base sharder.Group, got replies) (promises, bool) {
+	granted := promises{process: make(map[string]string), needed: base.Majority()}
+	all := promises{process: make(map[string]string)}
+	gone := 0
+	for _, vm := range base.Members {
+		r := got[vm]
+		switch {
+		case r != nil:
+			all.process[vm] = r.Process
+			all.needed++
+			if r.Granted {
+				granted.process[vm] = r.Process
+			}
+		case !l.IsListed(vm):
+			gone++
+		}
+	}
+	if len(granted.process) >= granted.needed {
+		return granted, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.stuckSince.IsZero() {
+		s.stuckSince = timekeeper.Now()
+	}
+	stuck := s.stuckSince.Age()
+	isComplete := len(all.process) == len(base.Members) && stuck > forgottenAfter
+	isGone := len(all.process)+gone == len(base.Members) && stuck > goneAfter
+	return all, isComplete || isGone
+}
+
 // basesOf returns the groups that are known at the beginning.
 func (l *Leaser) basesOf(s *shard, group sharder.Group) []sharder.Group {
 	l.mu.Lock()
@@ -214,6 +248,7 @@
 	s.asked = asked
 	s.released = false
 	s.ended = false
+	s.stuckSince = timekeeper.Moment{}
 	if isNew {
 		s.current = &Term{Begun: timekeeper.Now(), leaser: l, shard: s}
 	}
--- a/apricotd/internal/process/node/node.go
+++ b/apricotd/internal/process/node/node.go
@@ -176,6 +176,8 @@
 		Self:          n.Settings.VM,
 		Process:       n.process,
 		Group:         n.group,
+		IsListed:      n.isListed,
+		StaleFor:      n.spreader.StaleFor,
 		Peer:          n.forwarder.Peer,
 		Audit:         n.audit,
 		OnEstablished: n.spreader.SpreadGroup,
@@ -229,10 +231,12 @@
 	n.list.Store(list)
 	n.sharder.Store(sharder.New(list))
 	n.router.Balancer.SetList(list)
-	n.forwarder.Forget(func(id string) bool {
-		_, ok := list.VM(id)
-		return ok
-	})
+	n.forwarder.Forget(n.isListed)
+}
+
+func (n *Node) isListed(id string) bool {
+	_, ok := n.list.Load().VM(id)
+	return ok
 }
 
 // group returns the group of a shard by the VM list in force, once peers have
--- a/apricotd/internal/process/spreader/spreader.go
+++ b/apricotd/internal/process/spreader/spreader.go
@@ -101,6 +101,8 @@
 		started   timekeeper.Moment
 		heard     bool // a peer has told its state since the start
 		wasFresh  bool
+		// staleSince is when freshness was lost; zero: it is not.
+		staleSince timekeeper.Moment
 		// lastOwnRead is when a node that is no reader last read the platform.
 		lastOwnRead timekeeper.Moment
 		groups      groups
@@ -200,6 +202,17 @@
 	return f
 }
 
+// StaleFor returns for how long the node has not been able to show that its
+// tables and VM list are current; 0 if it can.
+func (s *Spreader) StaleFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.staleSince.IsZero() {
+		return 0
+	}
+	return s.staleSince.Age()
+}
+
 // beat shows that the process runs, and records when freshness comes and goes.
 func (s *Spreader) beat(ctx context.Context) {
 	ticker := time.NewTicker(pulse)
@@ -222,6 +235,10 @@
 		turned := f.Ready && f.MayServeKeys() != s.wasFresh
 		if turned {
 			s.wasFresh = f.MayServeKeys()
+			s.staleSince = timekeeper.Moment{}
+			if !s.wasFresh {
+				s.staleSince = timekeeper.Now()
+			}
 		}
 		s.mu.Unlock()
 		if turned {
