Run non-idempotent requests at most once, by claims with the shard's owner

Cause: a request that was sent again with the same Idempotency-Key ran again.

Change: before a dispatch the executing node claims the id with the owner of its shard, who has a majority of the shard's group remember the claim. Later owners are told by a majority; a new group is given all claims before it has an owner. Resent requests wait for the running one or get its answer.

Members now learn about all their shards at the start; shards are 256 instead of 1024 to bound that cost. An answer is kept by the owner alone: when it is lost, resent requests are told resultUnknown.

--- a/apricotd/internal/process/leaser/leaser.go
+++ b/apricotd/internal/process/leaser/leaser.go
@@ -83,6 +83,8 @@
 		StaleFor func() time.Duration
 		Peer     func(vm string) peerwireconnect.PeerServiceClient
 		Audit    *auditor.Auditor
+		// Replica keeps what owners store with their witnesses; nil: nothing.
+		Replica Replica
 		// OnEstablished spreads that a group has had an owner.
 		OnEstablished func(sharder.Shard, sharder.Group)
 
@@ -96,6 +98,16 @@
 		shards map[sharder.Shard]*shard
 	}
 
+	// A Replica is what a member keeps for the owners of shards.
+	Replica interface {
+		// Claims returns what is kept for a shard.
+		Claims(sharder.Shard) []*peerwire.ClaimRecord
+		// Absorb adds what another member keeps.
+		Absorb(sharder.Shard, []*peerwire.ClaimRecord)
+		// Sync makes a majority of a group keep what this node keeps.
+		Sync(ctx context.Context, id sharder.Shard, group sharder.Group) bool
+	}
+
 	// A Term is the uninterrupted ownership of a shard.
 	Term struct {
 		// Begun is when it began; nobody else has owned the shard since.
@@ -118,6 +130,7 @@
 		established  sharder.Group
 		owner        string
 		ownerProcess string
+		ownerGroup   sharder.Group
 		leaseBegun   timekeeper.Moment // of the last vouch; zero: none
 
 		// As owner.
@@ -130,6 +143,7 @@
 		endings  int  // counts how often ended was set
 		// stuckSince is when promises began to be too few; zero: they are not.
 		stuckSince timekeeper.Moment
+		synced     sharder.Group // a majority of it keeps all that the owner does
 	}
 )
 
@@ -197,6 +211,29 @@
 	return t.leaser.isValid(t.shard, t)
 }
 
+// Store runs store if this node supports the owner. No later owner can be
+// supported without being told what was stored: answers to candidates are made
+// under the same lock.
+func (l *Leaser) Store(id sharder.Shard, vm, process string, store func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.shard(id)
+	// A promise to a newer group ends the support for owners of older ones.
+	own, ok := l.Group(id)
+	if !ok || s.learning || s.owner != vm || s.ownerProcess != process || s.isOutdated(own) || s.isOutdated(s.ownerGroup) {
+		return false
+	}
+	store()
+	return true
+}
+
+// Members returns the group with which the owner of a shard stores.
+func (l *Leaser) Members(id sharder.Shard) sharder.Group {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shard(id).established
+}
+
 // Learn takes in that a group is known to have had an owner.
 func (l *Leaser) Learn(id sharder.Shard, g sharder.Group) {
 	l.mu.Lock()
--- a/apricotd/internal/process/leaser/owner.go
+++ b/apricotd/internal/process/leaser/owner.go
@@ -15,8 +15,13 @@
 	"apricotrudder.dev/wire/peerwire"
 )
 
-// maxGroups bounds the chain of groups that an owner follows back.
-const maxGroups = 16
+const (
+	// maxGroups bounds the chain of groups that an owner follows back.
+	maxGroups = 16
+	// straggler is how long an owner waits for further answers once it has
+	// those of a majority.
+	straggler = 30 * time.Millisecond
+)
 
 // replies are the answers of members, by VM.
 type replies map[string]*peerwire.WitnessResponse
@@ -229,12 +234,28 @@
 		}
 	}
 	if granted >= group.Majority() {
-		return l.extend(s, group, asked, endings, got)
+		return l.sync(s, group) && l.extend(s, group, asked, endings, got)
 	}
 	l.lose(s, group, granted)
 	return false
 }
 
+// sync makes a new group keep what the group before it kept. A group that has
+// had an owner already keeps it: its majorities have a member in common.
+func (l *Leaser) sync(s *shard, group sharder.Group) bool {
+	if l.Replica == nil || s.synced.IsSame(group) {
+		return true
+	}
+	l.mu.Lock()
+	isKnown := s.established.IsSame(group)
+	l.mu.Unlock()
+	if !isKnown && !l.Replica.Sync(l.ctx, s.id, group) {
+		return false
+	}
+	s.synced = group
+	return true
+}
+
 // extend records the support, unless this node has given its word to another
 // owner since it asked.
 func (l *Leaser) extend(s *shard, group sharder.Group, asked timekeeper.Moment, endings int, got replies) bool {
@@ -337,28 +358,54 @@
 		Process:     l.Process,
 		Group:       wireGroup(group),
 		Established: wireGroup(s.established),
+		// An owner whose term goes on has all claims already.
+		WantClaims: s.current == nil || s.released || s.ended || s.asked.Age() >= term,
 	}
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(l.ctx), askTimeout)
-	defer cancel()
-	var (
-		mu  sync.Mutex
-		wg  sync.WaitGroup
-		got = make(replies)
-	)
+	type answer struct {
+		vm       string
+		response *peerwire.WitnessResponse
+	}
+	answers := make(chan answer, len(members.Members))
+	var wg sync.WaitGroup
 	for _, vm := range members.Members {
 		wg.Go(func() {
 			r, err := l.askOne(ctx, vm, request)
-			if err != nil {
-				return
+			if err == nil {
+				answers <- answer{vm, r}
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			got[vm] = r
 		})
 	}
-	wg.Wait()
-	return got
+	l.tasks.Go(func() {
+		wg.Wait()
+		cancel()
+		close(answers)
+	})
+	got := make(replies)
+	granted := 0
+	var enough <-chan time.Time
+	for {
+		select {
+		case a, ok := <-answers:
+			if !ok {
+				return got
+			}
+			got[a.vm] = a.response
+			if l.Replica != nil {
+				l.Replica.Absorb(s.id, a.response.Claims)
+			}
+			if a.response.Granted {
+				granted++
+			}
+			if granted == members.Majority() {
+				enough = time.After(straggler)
+			}
+		case <-enough:
+			// The others are not needed; they may be dead or far away.
+			return got
+		}
+	}
 }
 
 func (l *Leaser) askOne(ctx context.Context, vm string, r *peerwire.WitnessRequest) (*peerwire.WitnessResponse, error) {
--- a/apricotd/internal/process/leaser/witness.go
+++ b/apricotd/internal/process/leaser/witness.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -10,6 +12,14 @@
 	"apricotrudder.dev/wire/peerwire"
 )
 
+const (
+	// learnInterval is how often a node looks for shards that it has to learn
+	// about.
+	learnInterval = time.Second
+	// learnAtOnce bounds the shards that it learns about at the same time.
+	learnAtOnce = 16
+)
+
 // Witness answers a member that wants this node's word.
 func (l *Leaser) Witness(_ context.Context, r *peerwire.WitnessRequest) *peerwire.WitnessResponse {
 	if r.Kind == peerwire.WitnessKind_WITNESS_KIND_VOUCH || r.Kind == peerwire.WitnessKind_WITNESS_KIND_PROMISE {
@@ -34,6 +44,9 @@
 		s.ended = true
 		s.endings++
 	}
+	if r.WantClaims && l.Replica != nil {
+		response.Claims = l.Replica.Claims(s.id)
+	}
 	return response
 }
 
@@ -82,6 +95,7 @@
 	s.addPending(g)
 	s.owner = vm
 	s.ownerProcess = process
+	s.ownerGroup = g
 	s.leaseBegun = timekeeper.Now()
 	return true
 }
@@ -99,7 +113,7 @@
 func (l *Leaser) startLearning(id sharder.Shard) {
 	l.mu.Lock()
 	s := l.shard(id)
-	isDue := s.learning && !s.asking
+	isDue := s.learning && !s.asking && l.ctx.Err() == nil
 	s.asking = s.asking || isDue
 	l.mu.Unlock()
 	if isDue {
@@ -107,6 +121,49 @@
 	}
 }
 
+// LearnAll lets the node learn about every shard of whose group it is a member
+// as soon as it can, until the context ends. A member that learns only when it
+// is needed would have to find all others alive just then.
+func (l *Leaser) LearnAll(ctx context.Context) {
+	ticker := time.NewTicker(learnInterval)
+	defer ticker.Stop()
+	for {
+		l.learnRound()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *Leaser) learnRound() {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, learnAtOnce)
+	for id := range sharder.Shard(sharder.Shards) {
+		group, ok := l.Group(id)
+		if !ok || l.ctx.Err() != nil {
+			return
+		}
+		l.mu.Lock()
+		s := l.shards[id]
+		isDue := group.Has(l.Self) && (s == nil || s.learning && !s.asking)
+		if isDue {
+			s = l.shard(id)
+		}
+		l.mu.Unlock()
+		if !isDue {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			l.tryLearn(s)
+			<-slots
+		})
+	}
+}
+
 // learn asks the other members until enough have answered.
 func (l *Leaser) learn(s *shard) {
 	for l.ctx.Err() == nil {
--- a/apricotd/internal/process/node/faults_test.go
+++ b/apricotd/internal/process/node/faults_test.go
@@ -22,6 +22,8 @@
 	spares []string
 	undo   []func()
 	down   string
+	// before is called for a killed VM before it is started anew.
+	before func(f *fleet, id string)
 	trace  func(format string, args ...any)
 }
 
@@ -96,6 +98,9 @@
 	x.f.kill(id)
 	x.undo = append(x.undo, func() {
 		x.log("restart %s", id)
+		if x.before != nil {
+			x.before(x.f, id)
+		}
 		x.f.restart(id)
 		x.down = ""
 	})
--- a/apricotd/internal/process/node/node.go
+++ b/apricotd/internal/process/node/node.go
@@ -31,6 +31,7 @@
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/auditor"
 	"apricotrudder.dev/apricotd/internal/process/balancer"
+	"apricotrudder.dev/apricotd/internal/process/claimer"
 	"apricotrudder.dev/apricotd/internal/process/leaser"
 	"apricotrudder.dev/apricotd/internal/process/limiter"
 	"apricotrudder.dev/apricotd/internal/process/loader"
@@ -83,6 +84,7 @@
 		sharder    atomic.Pointer[sharder.Sharder]
 		leaser     *leaser.Leaser
 		limiter    *limiter.Limiter
+		claimer    *claimer.Claimer
 		router     *router.Router
 		executor   *executor.Executor
 		servers    servers
@@ -106,6 +108,7 @@
 	wg.Go(func() { _ = n.spreader.Run(background) })
 	wg.Go(func() { n.prober.Run(background) })
 	wg.Go(func() { n.limiter.Run(background) })
+	wg.Go(func() { n.leaser.LearnAll(background) })
 	failed := n.serve()
 	n.Log.WithField("vm", n.Settings.VM).Info("node started")
 	var err error
@@ -172,6 +175,12 @@
 }
 
 func (n *Node) buildOwnership() {
+	n.claimer = &claimer.Claimer{
+		Self:    n.Settings.VM,
+		Process: n.process,
+		Group:   n.group,
+		Peer:    n.forwarder.Peer,
+	}
 	n.leaser = &leaser.Leaser{
 		Self:          n.Settings.VM,
 		Process:       n.process,
@@ -180,9 +189,11 @@
 		StaleFor:      n.spreader.StaleFor,
 		Peer:          n.forwarder.Peer,
 		Audit:         n.audit,
+		Replica:       n.claimer,
 		OnEstablished: n.spreader.SpreadGroup,
 	}
 	n.leaser.Start()
+	n.claimer.Leaser = n.leaser
 	n.spreader.OnGroup = n.leaser.Learn
 	n.limiter = &limiter.Limiter{
 		Self:   n.Settings.VM,
@@ -203,6 +214,7 @@
 		Admitter:    n.admitter,
 		Tracker:     n.tracker,
 		Dispatcher:  n.dispatcher,
+		Claimer:     n.claimer,
 		IsLeaving:   n.isLeaving,
 		BackendDown: n.prober.IsDown,
 	}
--- a/apricotd/internal/process/node/peers.go
+++ b/apricotd/internal/process/node/peers.go
@@ -58,6 +58,21 @@
 	return connect.NewResponse(p.node.leaser.Witness(ctx, r.Msg)), nil
 }
 
+// Claim decides who may run a non-idempotent request.
+func (p *peerService) Claim(ctx context.Context, r *connect.Request[peerwire.ClaimRequest]) (*connect.Response[peerwire.ClaimResponse], error) {
+	return connect.NewResponse(p.node.claimer.Decide(ctx, r.Msg)), nil
+}
+
+// Settle records what came of a claimed request.
+func (p *peerService) Settle(ctx context.Context, r *connect.Request[peerwire.SettleRequest]) (*connect.Response[peerwire.SettleResponse], error) {
+	return connect.NewResponse(p.node.claimer.Settled(ctx, r.Msg)), nil
+}
+
+// Store remembers claims for a shard's owner.
+func (p *peerService) Store(_ context.Context, r *connect.Request[peerwire.StoreRequest]) (*connect.Response[peerwire.StoreResponse], error) {
+	return connect.NewResponse(p.node.claimer.Store(r.Msg)), nil
+}
+
 // Status tells what the node knows of itself.
 func (p *peerService) Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error) {
 	config, vms := p.node.spreader.Versions()
--- a/apricotd/internal/request/executor/executor.go
+++ b/apricotd/internal/request/executor/executor.go
@@ -20,6 +20,7 @@
 
 	"apricotrudder.dev/apricotd/internal/connection/dispatcher"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
+	"apricotrudder.dev/apricotd/internal/process/claimer"
 	"apricotrudder.dev/apricotd/internal/process/spreader"
 	"apricotrudder.dev/apricotd/internal/process/tracker"
 	"apricotrudder.dev/apricotd/internal/request/reporter"
@@ -40,6 +41,7 @@
 	Admitter   *admitter.Admitter
 	Tracker    *tracker.Tracker
 	Dispatcher *dispatcher.Dispatcher
+	Claimer    *claimer.Claimer
 	// IsLeaving tells whether this node or its backend server is leaving.
 	IsLeaving func() bool
 	// BackendDown tells whether the backend server does not answer at all.
@@ -52,7 +54,7 @@
 	tokens := m.Context.RetryTokens
 	o := e.check(m)
 	if o == nil {
-		o, tokens = e.admit(ctx, m, call)
+		o, tokens = e.claim(ctx, m, call)
 	}
 	inFlight, limit := e.Admitter.Load()
 	return translator.Response(o, tokens, &peerwire.Load{
--- a/apricotd/internal/request/reporter/reporter.go
+++ b/apricotd/internal/request/reporter/reporter.go
@@ -44,6 +44,7 @@
 	WrongNode             Reason = "wrongNode"
 	Quarantined           Reason = "quarantined"
 	ClaimUnavailable      Reason = "claimUnavailable"
+	ResultUnknown         Reason = "resultUnknown"
 	BackendFailed         Reason = "backendFailed"
 	AnswerTruncated       Reason = "answerTruncated"
 	AnswerTooLarge        Reason = "answerTooLarge"
--- a/apricotd/internal/request/router/attempts.go
+++ b/apricotd/internal/request/router/attempts.go
@@ -132,7 +132,8 @@
 		return false
 	case reporter.Unknown:
 		if !rq.route.Idempotent {
-			return false
+			// Another attempt at a lost peer's request joins it by its claim.
+			return o.Reason == reporter.PeerLost
 		}
 		return o.Reason == reporter.PeerLost || o.Reason == reporter.BackendFailed || o.Reason == reporter.AnswerTruncated
 	}
--- a/apricotd/internal/request/router/router.go
+++ b/apricotd/internal/request/router/router.go
@@ -4,8 +4,8 @@
 // It guarantees that a request runs only for the organisation whose key came
 // with it, that the key goes no further than this node, that all attempts of
 // a call tree together are bounded by the retry tokens fixed at its first
-// node, and that a request which may have effects is not sent again unless it
-// certainly has not run.
+// node, and that a request which may have effects is sent again only under its
+// idempotency key, by which the executing nodes run it at most once.
 //
 // # Usage
 //
--- a/apricotd/version/sharder/sharder.go
+++ b/apricotd/version/sharder/sharder.go
@@ -28,7 +28,7 @@
 
 const (
 	// Shards is the number of shards. It is part of the protocol between nodes.
-	Shards = 1024
+	Shards = 256
 	// groupSize is the number of members of a group.
 	groupSize = 5
 	// homeMembers is the number of members in the shard's first region.
--- a/wire/peerwire/peerwireconnect/peer.connect.go
+++ b/wire/peerwire/peerwireconnect/peer.connect.go
@@ -43,6 +43,12 @@
 	PeerServiceBorrowProcedure = "/apricotrudder.peer.v1.PeerService/Borrow"
 	// PeerServiceWitnessProcedure is the fully-qualified name of the PeerService's Witness RPC.
 	PeerServiceWitnessProcedure = "/apricotrudder.peer.v1.PeerService/Witness"
+	// PeerServiceClaimProcedure is the fully-qualified name of the PeerService's Claim RPC.
+	PeerServiceClaimProcedure = "/apricotrudder.peer.v1.PeerService/Claim"
+	// PeerServiceSettleProcedure is the fully-qualified name of the PeerService's Settle RPC.
+	PeerServiceSettleProcedure = "/apricotrudder.peer.v1.PeerService/Settle"
+	// PeerServiceStoreProcedure is the fully-qualified name of the PeerService's Store RPC.
+	PeerServiceStoreProcedure = "/apricotrudder.peer.v1.PeerService/Store"
 	// PeerServiceStatusProcedure is the fully-qualified name of the PeerService's Status RPC.
 	PeerServiceStatusProcedure = "/apricotrudder.peer.v1.PeerService/Status"
 )
@@ -58,6 +64,12 @@
 	Borrow(context.Context, *connect.Request[peerwire.BorrowRequest]) (*connect.Response[peerwire.BorrowResponse], error)
 	// Witness asks a member of a shard's group for its word.
 	Witness(context.Context, *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error)
+	// Claim asks a shard's owner for the only right to run a request.
+	Claim(context.Context, *connect.Request[peerwire.ClaimRequest]) (*connect.Response[peerwire.ClaimResponse], error)
+	// Settle tells a shard's owner what became of a claimed request.
+	Settle(context.Context, *connect.Request[peerwire.SettleRequest]) (*connect.Response[peerwire.SettleResponse], error)
+	// Store makes a witness remember a claim for the shard's owner.
+	Store(context.Context, *connect.Request[peerwire.StoreRequest]) (*connect.Response[peerwire.StoreResponse], error)
 	// Status tells what the node knows of itself.
 	Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error)
 }
@@ -97,6 +109,24 @@
 			connect.WithSchema(peerServiceMethods.ByName("Witness")),
 			connect.WithClientOptions(opts...),
 		),
+		claim: connect.NewClient[peerwire.ClaimRequest, peerwire.ClaimResponse](
+			httpClient,
+			baseURL+PeerServiceClaimProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Claim")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[peerwire.SettleRequest, peerwire.SettleResponse](
+			httpClient,
+			baseURL+PeerServiceSettleProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
+		store: connect.NewClient[peerwire.StoreRequest, peerwire.StoreResponse](
+			httpClient,
+			baseURL+PeerServiceStoreProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Store")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[peerwire.StatusRequest, peerwire.StatusResponse](
 			httpClient,
 			baseURL+PeerServiceStatusProcedure,
@@ -112,6 +142,9 @@
 	watch   *connect.Client[peerwire.WatchRequest, peerwire.WatchResponse]
 	borrow  *connect.Client[peerwire.BorrowRequest, peerwire.BorrowResponse]
 	witness *connect.Client[peerwire.WitnessRequest, peerwire.WitnessResponse]
+	claim   *connect.Client[peerwire.ClaimRequest, peerwire.ClaimResponse]
+	settle  *connect.Client[peerwire.SettleRequest, peerwire.SettleResponse]
+	store   *connect.Client[peerwire.StoreRequest, peerwire.StoreResponse]
 	status  *connect.Client[peerwire.StatusRequest, peerwire.StatusResponse]
 }
 
@@ -135,6 +168,21 @@
 	return c.witness.CallUnary(ctx, req)
 }
 
+// Claim calls apricotrudder.peer.v1.PeerService.Claim.
+func (c *peerServiceClient) Claim(ctx context.Context, req *connect.Request[peerwire.ClaimRequest]) (*connect.Response[peerwire.ClaimResponse], error) {
+	return c.claim.CallUnary(ctx, req)
+}
+
+// Settle calls apricotrudder.peer.v1.PeerService.Settle.
+func (c *peerServiceClient) Settle(ctx context.Context, req *connect.Request[peerwire.SettleRequest]) (*connect.Response[peerwire.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
+// Store calls apricotrudder.peer.v1.PeerService.Store.
+func (c *peerServiceClient) Store(ctx context.Context, req *connect.Request[peerwire.StoreRequest]) (*connect.Response[peerwire.StoreResponse], error) {
+	return c.store.CallUnary(ctx, req)
+}
+
 // Status calls apricotrudder.peer.v1.PeerService.Status.
 func (c *peerServiceClient) Status(ctx context.Context, req *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -151,6 +199,12 @@
 	Borrow(context.Context, *connect.Request[peerwire.BorrowRequest]) (*connect.Response[peerwire.BorrowResponse], error)
 	// Witness asks a member of a shard's group for its word.
 	Witness(context.Context, *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error)
+	// Claim asks a shard's owner for the only right to run a request.
+	Claim(context.Context, *connect.Request[peerwire.ClaimRequest]) (*connect.Response[peerwire.ClaimResponse], error)
+	// Settle tells a shard's owner what became of a claimed request.
+	Settle(context.Context, *connect.Request[peerwire.SettleRequest]) (*connect.Response[peerwire.SettleResponse], error)
+	// Store makes a witness remember a claim for the shard's owner.
+	Store(context.Context, *connect.Request[peerwire.StoreRequest]) (*connect.Response[peerwire.StoreResponse], error)
 	// Status tells what the node knows of itself.
 	Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error)
 }
@@ -186,6 +240,24 @@
 		connect.WithSchema(peerServiceMethods.ByName("Witness")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceClaimHandler := connect.NewUnaryHandler(
+		PeerServiceClaimProcedure,
+		svc.Claim,
+		connect.WithSchema(peerServiceMethods.ByName("Claim")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceSettleHandler := connect.NewUnaryHandler(
+		PeerServiceSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(peerServiceMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceStoreHandler := connect.NewUnaryHandler(
+		PeerServiceStoreProcedure,
+		svc.Store,
+		connect.WithSchema(peerServiceMethods.ByName("Store")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceStatusHandler := connect.NewUnaryHandler(
 		PeerServiceStatusProcedure,
 		svc.Status,
@@ -202,6 +274,12 @@
 			peerServiceBorrowHandler.ServeHTTP(w, r)
 		case PeerServiceWitnessProcedure:
 			peerServiceWitnessHandler.ServeHTTP(w, r)
+		case PeerServiceClaimProcedure:
+			peerServiceClaimHandler.ServeHTTP(w, r)
+		case PeerServiceSettleProcedure:
+			peerServiceSettleHandler.ServeHTTP(w, r)
+		case PeerServiceStoreProcedure:
+			peerServiceStoreHandler.ServeHTTP(w, r)
 		case PeerServiceStatusProcedure:
 			peerServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -229,6 +307,18 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Witness is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Claim(context.Context, *connect.Request[peerwire.ClaimRequest]) (*connect.Response[peerwire.ClaimResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Claim is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Settle(context.Context, *connect.Request[peerwire.SettleRequest]) (*connect.Response[peerwire.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Settle is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Store(context.Context, *connect.Request[peerwire.StoreRequest]) (*connect.Response[peerwire.StoreResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Store is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Status(context.Context, *connect.Request[peerwire.StatusRequest]) (*connect.Response[peerwire.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("apricotrudder.peer.v1.PeerService.Status is not implemented"))
 }
