Make changes of the tables and the VM list cost what changed

Cause: every change decoded, checked and sorted all rows, and every stream walked all rows to find what its watcher lacks. The VM list held 28.3 MB.

Change: lists, rings and tables are copied by pointer and only changed rows are decoded and checked; deltas are checked against the digest before they are applied; the keys of recent changes are remembered; names are shared.

--- a/apricotd/internal/process/balancer/balancer.go
+++ b/apricotd/internal/process/balancer/balancer.go
@@ -71,7 +71,7 @@
 
 		mu        sync.Mutex
 		list      *locator.List
-		pools     map[string]*[tiers][]locator.VM
+		pools     map[string]*[tiers][]*locator.VM
 		peers     map[string]*peer
 		nextSweep time.Time
 	}
@@ -93,7 +93,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.list = l
-	b.pools = make(map[string]*[tiers][]locator.VM)
+	b.pools = make(map[string]*[tiers][]*locator.VM)
 	b.sweep()
 }
 
@@ -113,7 +113,7 @@
 			peer := b.peer(vm.ID)
 			peer.sent++
 			peer.lastUsed = now
-			return &Choice{VM: vm, Crosses: tier == tiers-1, b: b, peer: peer}, true
+			return &Choice{VM: *vm, Crosses: tier == tiers-1, b: b, peer: peer}, true
 		}
 	}
 	return nil, false
@@ -156,11 +156,11 @@
 }
 
 // tiersOf returns the pool's live VMs by distance.
-func (b *Balancer) tiersOf(pool string) *[tiers][]locator.VM {
+func (b *Balancer) tiersOf(pool string) *[tiers][]*locator.VM {
 	if t := b.pools[pool]; t != nil {
 		return t
 	}
-	t := &[tiers][]locator.VM{}
+	t := &[tiers][]*locator.VM{}
 	for _, vm := range b.list.Pool(pool) {
 		if vm.State != locator.Live {
 			continue
@@ -172,7 +172,7 @@
 	return t
 }
 
-func (b *Balancer) distance(vm locator.VM) int {
+func (b *Balancer) distance(vm *locator.VM) int {
 	switch {
 	case vm.DataCentre == b.DataCentre:
 		return 0
@@ -183,10 +183,10 @@
 }
 
 // chooseFrom takes the better of two random usable VMs.
-func (b *Balancer) chooseFrom(vms []locator.VM, tried map[string]bool, now time.Time) (locator.VM, bool) {
+func (b *Balancer) chooseFrom(vms []*locator.VM, tried map[string]bool, now time.Time) (*locator.VM, bool) {
 	first, ok := b.draw(vms, tried, now, "")
 	if !ok {
-		return locator.VM{}, false
+		return nil, false
 	}
 	second, ok := b.draw(vms, tried, now, first.ID)
 	if ok && b.load(second.ID) < b.load(first.ID) {
@@ -198,9 +198,9 @@
 // draw returns a random usable VM other than except. It starts at a random
 // place and takes the first usable VM from there, so it always finds one if
 // there is one.
-func (b *Balancer) draw(vms []locator.VM, tried map[string]bool, now time.Time, except string) (locator.VM, bool) {
+func (b *Balancer) draw(vms []*locator.VM, tried map[string]bool, now time.Time, except string) (*locator.VM, bool) {
 	if len(vms) == 0 {
-		return locator.VM{}, false
+		return nil, false
 	}
 	start := rand.IntN(len(vms))
 	for i := range vms {
@@ -209,7 +209,7 @@
 			return vm, true
 		}
 	}
-	return locator.VM{}, false
+	return nil, false
 }
 
 func (b *Balancer) isUsable(id string, now time.Time) bool {
--- a/apricotd/internal/process/node/fleet_test.go
+++ b/apricotd/internal/process/node/fleet_test.go
@@ -49,6 +49,7 @@
 		listed  []publisher.VM
 		client  *http.Client
 		stop    []func()
+		tick    time.Time // of measurements
 	}
 
 	// A machine is one VM: a backend server and its node.
--- a/apricotd/internal/process/node/node.go
+++ b/apricotd/internal/process/node/node.go
@@ -233,15 +233,19 @@
 }
 
 func (n *Node) setConfig(cfg *checker.Config) {
-	n.view.Store(router.NewView(cfg))
+	n.view.Store(router.NewView(cfg, n.view.Load()))
 	if pool := cfg.Pools[n.Settings.Pool]; pool != nil {
 		n.admitter.SetQueueWait(time.Duration(pool.QueueWait))
 	}
 }
 
-func (n *Node) setList(list *locator.List) {
+func (n *Node) setList(list *locator.List, changed []string) {
 	n.list.Store(list)
-	n.sharder.Store(sharder.New(list))
+	if s := n.sharder.Load(); s != nil {
+		n.sharder.Store(s.With(list, changed))
+	} else {
+		n.sharder.Store(sharder.New(list))
+	}
 	n.router.Balancer.SetList(list)
 	n.forwarder.Forget(n.isListed)
 }
--- a/apricotd/internal/process/spreader/rowset.go
+++ b/apricotd/internal/process/spreader/rowset.go
@@ -4,37 +4,33 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"slices"
 
 	"apricotrudder.dev/wire/peerwire"
 )
 
-// tombstonesKept bounds the removed rows that are remembered. A watcher that
-// is further behind gets every row.
-const tombstonesKept = 4096
+// changesKept bounds the changes that are remembered. A watcher that is further
+// behind gets every row.
+const changesKept = 512
 
 type (
 	// A digest is the exclusive or of the hashes of all rows, so that a change
 	// of one row costs one hash whatever the number of rows.
 	digest [sha256.Size]byte
 
-	// A rowset is a versioned set of rows that is spread by deltas.
+	// A rowset is a versioned set of rows that is spread by deltas. All costs
+	// but that of the first spreading depend on the changes alone.
 	rowset struct {
-		version    uint64
-		rows       map[string]row
-		digest     digest
-		tombstones []tombstone // in order of version
-		// complete is the oldest version from which a delta can be made.
-		complete uint64
+		version uint64
+		rows    map[string][]byte
+		digest  digest
+		recent  []change // the newest last
 	}
 
-	row struct {
-		value   []byte
-		version uint64 // at which this row last changed
-	}
-
-	tombstone struct {
-		key     string
-		version uint64
+	// A change tells which rows differ between two versions.
+	change struct {
+		from, to uint64
+		keys     []string
 	}
 )
 
@@ -52,24 +48,17 @@
 // diff returns the delta that leads from s to the given rows.
 func (s *rowset) diff(version uint64, rows map[string][]byte) *peerwire.Delta {
 	d := &peerwire.Delta{FromVersion: s.version, ToVersion: version}
-	sum := s.digest
 	for key, value := range rows {
-		old, ok := s.rows[key]
-		if ok && bytes.Equal(old.value, value) {
-			continue
+		if old, ok := s.rows[key]; !ok || !bytes.Equal(old, value) {
+			d.Rows = append(d.Rows, &peerwire.Row{Key: key, Value: value})
 		}
-		if ok {
-			sum.toggle(key, old.value)
-		}
-		sum.toggle(key, value)
-		d.Rows = append(d.Rows, &peerwire.Row{Key: key, Value: value})
 	}
-	for key, old := range s.rows {
+	for key := range s.rows {
 		if _, ok := rows[key]; !ok {
-			sum.toggle(key, old.value)
 			d.Removed = append(d.Removed, key)
 		}
 	}
+	sum := s.digestAfter(d)
 	d.Digest = sum[:]
 	return d
 }
@@ -77,99 +66,112 @@
 // since returns the delta from an earlier version to the present one.
 func (s *rowset) since(version uint64) *peerwire.Delta {
 	d := &peerwire.Delta{ToVersion: s.version, Digest: bytes.Clone(s.digest[:])}
-	if version >= s.complete {
-		d.FromVersion = version
-	}
-	for key, r := range s.rows {
-		if r.version > d.FromVersion {
-			d.Rows = append(d.Rows, &peerwire.Row{Key: key, Value: r.value})
+	if len(s.recent) == 0 || version == 0 || version < s.recent[0].from {
+		for key, value := range s.rows {
+			d.Rows = append(d.Rows, &peerwire.Row{Key: key, Value: value})
 		}
-	}
-	if d.FromVersion == 0 {
 		return d
 	}
-	for _, t := range s.tombstones {
-		if _, back := s.rows[t.key]; t.version > version && !back {
-			d.Removed = append(d.Removed, t.key)
+	d.FromVersion = version
+	told := make(map[string]bool)
+	for _, c := range s.recent {
+		if c.to <= version {
+			continue
+		}
+		for _, key := range c.keys {
+			if !told[key] {
+				told[key] = true
+				s.tell(d, key)
+			}
 		}
 	}
 	return d
 }
 
-// apply returns s changed by the delta. s itself stays as it is when the
-// delta does not fit or its digest does not match.
-func (s *rowset) apply(d *peerwire.Delta) (*rowset, error) {
-	next := s.prepare(d)
-	if next == nil {
-		return nil, fmt.Errorf("apply delta: got one from version %d, want from %d at the most", d.FromVersion, s.version)
-	}
-	for _, r := range d.Rows {
-		next.put(r.Key, r.Value)
-	}
-	for _, key := range d.Removed {
-		next.remove(key)
-	}
-	if !bytes.Equal(next.digest[:], d.Digest) {
-		return nil, fmt.Errorf("apply delta: got digest %x at version %d, want %x", next.digest[:4], d.ToVersion, d.Digest[:min(4, len(d.Digest))])
+// tell adds the present state of one row to a delta.
+func (s *rowset) tell(d *peerwire.Delta, key string) {
+	if value, ok := s.rows[key]; ok {
+		d.Rows = append(d.Rows, &peerwire.Row{Key: key, Value: value})
+		return
 	}
-	return next, nil
+	d.Removed = append(d.Removed, key)
 }
 
-func (s *rowset) prepare(d *peerwire.Delta) *rowset {
-	if d.FromVersion == 0 {
-		return &rowset{
-			version:  d.ToVersion,
-			rows:     make(map[string]row, len(d.Rows)),
-			complete: d.ToVersion,
-		}
-	}
+// check tells whether the delta fits and leads to the rows that it claims. Its
+// cost depends on the delta alone.
+func (s *rowset) check(d *peerwire.Delta) error {
 	if d.FromVersion > s.version {
-		return nil
-	}
-	next := &rowset{
-		version:    d.ToVersion,
-		rows:       make(map[string]row, len(s.rows)+len(d.Rows)),
-		digest:     s.digest,
-		tombstones: s.tombstones,
-		complete:   s.complete,
+		return fmt.Errorf("check delta: got one from version %d, want from %d at the most", d.FromVersion, s.version)
 	}
-	for key, r := range s.rows {
-		next.rows[key] = r
+	if got := s.digestAfter(d); !bytes.Equal(got[:], d.Digest) {
+		return fmt.Errorf("check delta: got digest %x at version %d, want %x", got[:4], d.ToVersion, d.Digest[:min(4, len(d.Digest))])
 	}
-	return next
+	return nil
 }
 
-func (s *rowset) put(key string, value []byte) {
-	if old, ok := s.rows[key]; ok {
-		if bytes.Equal(old.value, value) {
-			return
+func (s *rowset) digestAfter(d *peerwire.Delta) digest {
+	var sum digest
+	if d.FromVersion > 0 {
+		sum = s.digest
+	}
+	isChanged := func(key string) bool {
+		_, ok := s.rows[key]
+		return ok && d.FromVersion > 0
+	}
+	for _, r := range d.Rows {
+		if isChanged(r.Key) {
+			sum.toggle(r.Key, s.rows[r.Key])
 		}
-		s.digest.toggle(key, old.value)
+		sum.toggle(r.Key, r.Value)
 	}
-	s.digest.toggle(key, value)
-	s.rows[key] = row{value: value, version: s.version}
+	for _, key := range d.Removed {
+		if isChanged(key) {
+			sum.toggle(key, s.rows[key])
+		}
+	}
+	return sum
 }
 
-func (s *rowset) remove(key string) {
-	old, ok := s.rows[key]
-	if !ok {
+// apply carries out a delta that has passed check.
+func (s *rowset) apply(d *peerwire.Delta) {
+	s.digest = s.digestAfter(d)
+	c := change{from: s.version, to: d.ToVersion}
+	if d.FromVersion == 0 {
+		s.rows = make(map[string][]byte, len(d.Rows))
+		s.recent = nil
+	}
+	for _, r := range d.Rows {
+		s.rows[r.Key] = r.Value
+		c.keys = append(c.keys, r.Key)
+	}
+	for _, key := range d.Removed {
+		delete(s.rows, key)
+		c.keys = append(c.keys, key)
+	}
+	s.version = d.ToVersion
+	if d.FromVersion == 0 {
 		return
 	}
-	s.digest.toggle(key, old.value)
-	delete(s.rows, key)
-	kept := s.tombstones
-	if len(kept) >= tombstonesKept {
-		s.complete = kept[0].version
-		kept = kept[1:]
+	s.recent = append(s.recent, c)
+	if len(s.recent) > changesKept {
+		s.recent = slices.Delete(s.recent, 0, changesKept/2)
 	}
-	s.tombstones = append(kept[:len(kept):len(kept)], tombstone{key, s.version})
 }
 
-// values returns the rows without their versions.
-func (s *rowset) values() map[string][]byte {
-	out := make(map[string][]byte, len(s.rows))
-	for key, r := range s.rows {
-		out[key] = r.value
+// changes returns what a delta changes: the rows that it sets and the keys that
+// it removes. A whole set removes every row that it does not hold.
+func (s *rowset) changes(d *peerwire.Delta) (changed map[string][]byte, removed []string) {
+	changed = make(map[string][]byte, len(d.Rows))
+	for _, r := range d.Rows {
+		changed[r.Key] = r.Value
+	}
+	if d.FromVersion > 0 {
+		return changed, d.Removed
+	}
+	for key := range s.rows {
+		if _, ok := changed[key]; !ok {
+			removed = append(removed, key)
+		}
 	}
-	return out
+	return changed, removed
 }
--- /dev/null
+++ b/apricotd/internal/process/spreader/size_test.go
@@ -0,0 +1,184 @@
+package spreader
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"apricotrudder.dev/apricotd/internal/process/auditor"
+	"apricotrudder.dev/apricotd/version/checker"
+	"apricotrudder.dev/apricotd/version/locator"
+	"apricotrudder.dev/apricotd/version/sharder"
+	"apricotrudder.dev/wire/peerwire"
+)
+
+// The target size.
+const (
+	targetVMs           = 31_000
+	targetPools         = 1_100
+	targetRoutes        = 5_500
+	targetOrganisations = 3_000
+)
+
+func vmRows(n int) map[string][]byte {
+	rows := make(map[string][]byte, n)
+	for i := range n {
+		vm := locator.VM{
+			ID:         fmt.Sprintf("region%d-dc%d-service%04d-%d", i%6, i%18, i%targetPools, i),
+			Region:     fmt.Sprintf("region%d", i%6),
+			DataCentre: fmt.Sprintf("region%d-dc%d", i%6, i%18),
+			Pool:       fmt.Sprintf("service%04d", i%targetPools),
+			Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7003),
+			State:      locator.Live,
+		}
+		data, err := json.Marshal(vm)
+		if err != nil {
+			panic(err)
+		}
+		rows[vm.ID] = data
+	}
+	return rows
+}
+
+func configRows() map[string][]byte {
+	cfg := &checker.Config{
+		Routes:        make(map[string]*checker.Route),
+		Pools:         make(map[string]*checker.Pool),
+		Organisations: make(map[string]*checker.Organisation),
+	}
+	for i := range targetPools {
+		name := fmt.Sprintf("service%04d", i)
+		cfg.Pools[name] = &checker.Pool{Name: name, Slots: 35, Connections: 300, CrossRegion: checker.CrossRegionNever}
+	}
+	for i := range targetRoutes {
+		name := fmt.Sprintf("route%04d", i)
+		cfg.Routes[name] = &checker.Route{
+			Name: name, Method: "GET", Path: fmt.Sprintf("/service%04d/kind%d/{id}", i%targetPools, i),
+			Pool: fmt.Sprintf("service%04d", i%targetPools), Access: checker.AccessKey,
+			WhenStale: checker.StaleRefuse, Idempotent: true, Timeout: 1e9,
+		}
+	}
+	for i := range targetOrganisations {
+		name := fmt.Sprintf("organisation%04d", i)
+		cfg.Organisations[name] = &checker.Organisation{
+			Name: name, Rate: 100, Burst: 50, Keys: []string{checker.Digest(name).String()},
+		}
+	}
+	rows, err := cfg.Rows()
+	if err != nil {
+		panic(err)
+	}
+	return rows
+}
+
+func newSized() *Spreader {
+	s := &Spreader{
+		Self:     locator.VM{ID: "region0-dc0-service0000-0", DataCentre: "region0-dc0"},
+		Audit:    &auditor.Auditor{},
+		OnConfig: func(*checker.Config) {},
+		OnList:   func(*locator.List, []string) {},
+	}
+	s.init()
+	return s
+}
+
+func (s *Spreader) putVMs(version uint64, rows map[string][]byte) {
+	if !s.adoptVMs(s.vms.diff(version, rows), "test") {
+		panic("VM list rejected")
+	}
+}
+
+// BenchmarkVMChange is the cost of one changed row of the VM list, at several
+// sizes, with all that is computed from the list.
+func BenchmarkVMChange(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, targetVMs} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			s := newSized()
+			rows := vmRows(n)
+			s.putVMs(1, rows)
+			ring := sharder.New(s.list)
+			s.OnList = func(l *locator.List, changed []string) { ring = ring.With(l, changed) }
+			self := rows[s.Self.ID]
+			leaving := bytes.Replace(self, []byte("live"), []byte("leaving"), 1)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				value := [][]byte{self, leaving}[i%2]
+				sum := s.vms.digest
+				sum.toggle(s.Self.ID, s.vms.rows[s.Self.ID])
+				sum.toggle(s.Self.ID, value)
+				d := &peerwire.Delta{
+					FromVersion: s.vms.version,
+					ToVersion:   s.vms.version + 1,
+					Rows:        []*peerwire.Row{{Key: s.Self.ID, Value: value}},
+					Digest:      sum[:],
+				}
+				if !s.adoptVMs(d, "test") {
+					b.Fatal("change rejected")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkConfigChange is the cost of one changed row of the tables at the
+// target size.
+func BenchmarkConfigChange(b *testing.B) {
+	s := newSized()
+	rows := configRows()
+	if !s.adoptConfig(s.config.diff(1, rows), "test") {
+		b.Fatal("tables rejected")
+	}
+	b.ReportAllocs()
+	for i := uint64(2); b.Loop(); i++ {
+		o := &checker.Organisation{Name: "organisation0000", Rate: float64(i % 100), Burst: 50}
+		data, err := json.Marshal(o)
+		if err != nil {
+			b.Fatal(err)
+		}
+		key := "organisation/organisation0000"
+		sum := s.config.digest
+		sum.toggle(key, s.config.rows[key])
+		sum.toggle(key, data)
+		d := &peerwire.Delta{
+			FromVersion: s.config.version,
+			ToVersion:   i,
+			Rows:        []*peerwire.Row{{Key: key, Value: data}},
+			Digest:      sum[:],
+		}
+		if !s.adoptConfig(d, "test") {
+			b.Fatal("change rejected")
+		}
+	}
+}
+
+// BenchmarkMemory reports the memory that the VM list and the tables hold.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		s := newSized()
+		var ring *sharder.Sharder
+		s.OnList = func(l *locator.List, _ []string) { ring = sharder.New(l) }
+		s.putVMs(1, vmRows(targetVMs))
+		afterVMs := heap()
+		if !s.adoptConfig(s.config.diff(1, configRows()), "test") {
+			b.Fatal("tables rejected")
+		}
+		afterConfig := heap()
+		b.ReportMetric(float64(afterVMs-before)/targetVMs, "B/VM")
+		b.ReportMetric(float64(afterVMs-before)/(1<<20), "MB-VMs")
+		b.ReportMetric(float64(afterConfig-afterVMs)/(1<<20), "MB-tables")
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(ring)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/apricotd/internal/process/spreader/spreader.go
+++ b/apricotd/internal/process/spreader/spreader.go
@@ -25,7 +25,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,7 +87,8 @@
 		Audit    *auditor.Auditor
 		Metrics  *metrics.Set
 		OnConfig func(*checker.Config)
-		OnList   func(*locator.List)
+		// OnList is given the list and the ids of the VMs that changed.
+		OnList func(list *locator.List, changed []string)
 		// OnGroup is told of groups that have had an owner.
 		OnGroup func(sharder.Shard, sharder.Group)
 
@@ -94,6 +97,7 @@
 		vms       *rowset
 		cfg       *checker.Config
 		list      *locator.List
+		names     map[string]string // each name of a place or pool once, to save memory
 		place     place
 		confirmed map[string]confirmation // by data centre
 		changed   chan struct{}           // closed at every change
@@ -294,17 +298,17 @@
 	if d.ToVersion <= s.config.version {
 		return true
 	}
-	next, err := s.config.apply(d)
-	if err != nil {
+	if err := s.config.check(d); err != nil {
 		s.reject("tables", d.ToVersion, source, err)
 		return false
 	}
-	cfg, err := checker.FromRows(d.ToVersion, next.values())
+	changed, removed := s.config.changes(d)
+	cfg, err := s.cfg.With(d.ToVersion, changed, removed)
 	if err != nil {
 		s.reject("tables", d.ToVersion, source, err)
 		return false
 	}
-	s.config = next
+	s.config.apply(d)
 	s.cfg = cfg
 	s.OnConfig(cfg)
 	s.notify()
@@ -324,20 +328,20 @@
 	if d.ToVersion <= s.vms.version {
 		return true
 	}
-	next, err := s.vms.apply(d)
-	if err != nil {
+	if err := s.vms.check(d); err != nil {
 		s.reject("VM list", d.ToVersion, source, err)
 		return false
 	}
-	list, err := listOf(next)
+	changed, removed := s.vms.changes(d)
+	list, err := s.listWith(d.ToVersion, changed, removed)
 	if err != nil {
 		s.reject("VM list", d.ToVersion, source, err)
 		return false
 	}
-	s.vms = next
+	s.vms.apply(d)
 	s.list = list
 	s.place = placeOf(list, s.Self)
-	s.OnList(list)
+	s.OnList(list, append(slices.Collect(maps.Keys(changed)), removed...))
 	s.notify()
 	s.Audit.Record(auditor.Entry{
 		Kind:    auditor.VMsInForce,
--- a/apricotd/internal/process/spreader/topology.go
+++ b/apricotd/internal/process/spreader/topology.go
@@ -15,6 +15,7 @@
 	levelBits = 2
 	// candidatesKept bounds the peers that a node tries in turn.
 	candidatesKept = 8
+	maxLevels      = 64 / levelBits
 )
 
 // A place is a node's position in the spreading of one VM list version. Every
@@ -30,15 +31,15 @@
 }
 
 func placeOf(list *locator.List, self locator.VM) place {
-	order := spreadOrder(list.DataCentre(self.DataCentre))
+	own := list.DataCentre(self.DataCentre)
+	readers := readersOf(own)
 	p := place{
+		reader:      slices.Contains(readers, self.ID),
 		dataCentres: len(list.DataCentres()),
 		vms:         len(list.VMs()),
 	}
-	at := slices.IndexFunc(order, func(vm locator.VM) bool { return vm.ID == self.ID })
-	p.reader = at >= 0 && at < readersPerDataCentre
 	if !p.reader {
-		p.candidates = parentsOf(order, at, self)
+		p.candidates = parentsOf(own, readers, self)
 	}
 	p.candidates = append(p.candidates, otherReaders(list, self)...)
 	if len(p.candidates) > candidatesKept {
@@ -47,13 +48,44 @@
 	return p
 }
 
-// spreadOrder ranks the live VMs of a data centre: by level, then by hash.
-func spreadOrder(vms []locator.VM) []locator.VM {
-	order := locator.Rank("spread", vms)
-	slices.SortStableFunc(order, func(a, b locator.VM) int {
-		return cmp.Compare(level(b.ID), level(a.ID))
-	})
-	return order
+// standing orders the VMs of a data centre for spreading: by level, then by
+// hash.
+type standing struct {
+	level int
+	hash  uint64
+	id    string
+}
+
+func standingOf(id string) standing {
+	return standing{level(id), locator.Hash("spread", id), id}
+}
+
+func (a standing) isBefore(b standing) bool {
+	return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id)) < 0
+}
+
+// readersOf returns the first live VMs of a data centre.
+func readersOf(vms []*locator.VM) []string {
+	var first []standing
+	for _, vm := range vms {
+		if vm.State != locator.Live {
+			continue
+		}
+		s := standingOf(vm.ID)
+		i := 0
+		for i < len(first) && first[i].isBefore(s) {
+			i++
+		}
+		if i < readersPerDataCentre {
+			first = slices.Insert(first, i, s)
+			first = first[:min(len(first), readersPerDataCentre)]
+		}
+	}
+	ids := make([]string, len(first))
+	for i, s := range first {
+		ids[i] = s.id
+	}
+	return ids
 }
 
 // level is 0 for most nodes and l with a probability of 2^(-l*levelBits).
@@ -62,32 +94,28 @@
 }
 
 // parentsOf prefers nodes of the next level that has at least two nodes, then
-// all nodes before the own place. A VM that is not listed yet may watch any.
-func parentsOf(order []locator.VM, at int, self locator.VM) []string {
-	above := order
-	if at >= 0 {
-		above = order[:at]
-	}
+// the readers.
+func parentsOf(vms []*locator.VM, readers []string, self locator.VM) []string {
 	own := level(self.ID)
-	var near []locator.VM
-	for l := own + 1; l <= own+64/levelBits && len(near) < parents; l++ {
-		near = nodesOfLevel(above, l)
+	var near []*locator.VM
+	for l := own + 1; l <= own+maxLevels && len(near) < parents; l++ {
+		near = nodesOfLevel(vms, l)
 	}
 	if len(near) < parents {
-		near = above[:min(len(above), readersPerDataCentre)]
+		near = nil
 	}
 	ids := idsOf(locator.Rank("parent/"+self.ID, near))
 	ids = ids[:min(len(ids), candidatesKept/2)]
-	for _, vm := range above[:min(len(above), readersPerDataCentre)] {
-		if !slices.Contains(ids, vm.ID) {
-			ids = append(ids, vm.ID)
+	for _, id := range readers {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-func nodesOfLevel(vms []locator.VM, l int) []locator.VM {
-	var out []locator.VM
+func nodesOfLevel(vms []*locator.VM, l int) []*locator.VM {
+	var out []*locator.VM
 	for _, vm := range vms {
 		if level(vm.ID) == l {
 			out = append(out, vm)
@@ -113,11 +141,11 @@
 		if name == self.DataCentre {
 			continue
 		}
-		order := spreadOrder(list.DataCentre(name))
-		if len(order) == 0 {
+		readers := readersOf(list.DataCentre(name))
+		if len(readers) == 0 {
 			continue
 		}
-		id := order[min(i%readersPerDataCentre, len(order)-1)].ID
+		id := readers[min(i%readersPerDataCentre, len(readers)-1)]
 		if !slices.Contains(ids, id) {
 			ids = append(ids, id)
 		}
@@ -128,7 +156,7 @@
 	return ids
 }
 
-func idsOf(vms []locator.VM) []string {
+func idsOf(vms []*locator.VM) []string {
 	ids := make([]string, len(vms))
 	for i, vm := range vms {
 		ids[i] = vm.ID
@@ -136,21 +164,43 @@
 	return ids
 }
 
-func listOf(rows *rowset) (*locator.List, error) {
-	vms := make([]locator.VM, 0, len(rows.rows))
-	for key, r := range rows.rows {
+// listWith decodes the changed rows and returns the list with them.
+func (s *Spreader) listWith(version uint64, changed map[string][]byte, removed []string) (*locator.List, error) {
+	vms := make([]locator.VM, 0, len(changed))
+	for key, value := range changed {
 		var vm locator.VM
-		if err := json.Unmarshal(r.value, &vm); err != nil {
+		if err := json.Unmarshal(value, &vm); err != nil {
 			return nil, fmt.Errorf("decode VM %s: %w", key, err)
 		}
 		if vm.ID != key {
 			return nil, fmt.Errorf("decode VM %s: got id %q, want the key", key, vm.ID)
 		}
+		vm.ID = key
+		vm.Region = s.name(vm.Region)
+		vm.DataCentre = s.name(vm.DataCentre)
+		vm.Pool = s.name(vm.Pool)
+		vm.State = locator.State(s.name(string(vm.State)))
 		vms = append(vms, vm)
 	}
-	list, err := locator.New(rows.version, vms)
+	base := s.list
+	if base == nil {
+		base = &locator.List{}
+	}
+	list, err := base.With(version, vms, removed)
 	if err != nil {
 		return nil, fmt.Errorf("build VM list: %w", err)
 	}
 	return list, nil
 }
+
+// name returns the one copy of a name that many rows have.
+func (s *Spreader) name(text string) string {
+	if known, ok := s.names[text]; ok {
+		return known
+	}
+	if s.names == nil {
+		s.names = make(map[string]string)
+	}
+	s.names[text] = text
+	return text
+}
--- a/apricotd/internal/request/router/router.go
+++ b/apricotd/internal/request/router/router.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
@@ -86,8 +87,12 @@
 	}
 )
 
-// NewView prepares a version of the tables.
-func NewView(cfg *checker.Config) *View {
+// NewView prepares a version of the tables. The matcher of the version before
+// is kept if no route has changed; previous may be nil.
+func NewView(cfg *checker.Config, previous *View) *View {
+	if previous != nil && maps.Equal(cfg.Routes, previous.Config.Routes) {
+		return &View{Config: cfg, Matcher: previous.Matcher}
+	}
 	return &View{Config: cfg, Matcher: matcher.New(cfg.Routes)}
 }
 
--- a/apricotd/version/checker/checker.go
+++ b/apricotd/version/checker/checker.go
@@ -49,6 +49,8 @@
 		Organisations map[string]*Organisation
 		// Keys maps each granted key's digest to its organisation's name.
 		Keys map[KeyDigest]string
+
+		patterns map[string]string // shape of a method and path to route
 	}
 
 	tables struct {
@@ -123,22 +125,27 @@
 		Pools:         make(map[string]*Pool, len(t.pools)),
 		Organisations: make(map[string]*Organisation, len(t.organisations)),
 		Keys:          make(map[KeyDigest]string),
+		patterns:      make(map[string]string, len(t.routes)),
 	}
 	f := &faults{}
+	t.check(f, cfg)
+	if err := stderrors.Join(f.errs...); err != nil {
+		return nil, fmt.Errorf("check tables: %w", err)
+	}
+	return cfg, nil
+}
+
+// check adds all rows to a Config.
+func (t tables) check(f *faults, cfg *Config) {
 	for i, p := range t.pools {
 		checkPool(f, p, i, cfg.Pools)
 	}
-	patterns := make(map[string]string, len(t.routes))
 	for i, r := range t.routes {
-		checkRoute(f, r, i, cfg, patterns)
+		checkRoute(f, r, i, cfg, cfg.patterns)
 	}
 	for i, o := range t.organisations {
 		checkOrganisation(f, o, i, cfg)
 	}
-	if err := stderrors.Join(f.errs...); err != nil {
-		return nil, fmt.Errorf("check tables: %w", err)
-	}
-	return cfg, nil
 }
 
 // IsGranted tells whether the key with this digest is granted to the
--- a/apricotd/version/checker/rows.go
+++ b/apricotd/version/checker/rows.go
@@ -1,8 +1,11 @@
 package checker
 
 import (
+	"encoding/hex"
 	"encoding/json"
+	stderrors "errors"
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 )
@@ -54,6 +57,80 @@
 	return t.config(version)
 }
 
+// With returns the Config of a later version, in which some rows are changed
+// or added and others removed. The verdict is that of FromRows on all rows; the
+// cost is that of copying the maps and of checking the changed rows. c may be
+// nil, for no rows at all.
+func (c *Config) With(version uint64, changed map[string][]byte, removed []string) (*Config, error) {
+	if c == nil {
+		return FromRows(version, changed)
+	}
+	next := &Config{
+		Version:       version,
+		Routes:        maps.Clone(c.Routes),
+		Pools:         maps.Clone(c.Pools),
+		Organisations: maps.Clone(c.Organisations),
+		Keys:          maps.Clone(c.Keys),
+		patterns:      maps.Clone(c.patterns),
+	}
+	for _, key := range removed {
+		next.remove(key)
+	}
+	var t tables
+	for _, key := range sortedKeys(changed) {
+		next.remove(key)
+		if err := t.decodeRow(key, changed[key]); err != nil {
+			return nil, fmt.Errorf("decode row %s: %w", key, err)
+		}
+	}
+	f := &faults{}
+	t.check(f, next)
+	next.checkPoolsOfRoutes(f)
+	if err := stderrors.Join(f.errs...); err != nil {
+		return nil, fmt.Errorf("check rows: %w", err)
+	}
+	return next, nil
+}
+
+// remove takes out a row with all that was derived from it.
+func (c *Config) remove(key string) {
+	table, name, _ := strings.Cut(key, "/")
+	switch table + "/" {
+	case routePrefix:
+		if r := c.Routes[name]; r != nil {
+			delete(c.patterns, r.Method+" "+patternShape(r.Path))
+			delete(c.Routes, name)
+		}
+	case poolPrefix:
+		delete(c.Pools, name)
+	case organisationPrefix:
+		c.removeKeys(name)
+		delete(c.Organisations, name)
+	}
+}
+
+func (c *Config) removeKeys(organisation string) {
+	o := c.Organisations[organisation]
+	if o == nil {
+		return
+	}
+	for _, text := range o.Keys {
+		var d KeyDigest
+		if _, err := hex.Decode(d[:], []byte(text)); err == nil {
+			delete(c.Keys, d)
+		}
+	}
+}
+
+// checkPoolsOfRoutes finds unchanged routes whose pool has been removed.
+func (c *Config) checkPoolsOfRoutes(f *faults) {
+	for name, r := range c.Routes {
+		if _, ok := c.Pools[r.Pool]; !ok {
+			f.add(RoutesTable, fmt.Sprintf("route %q", name), "pool", fmt.Sprintf("%q", r.Pool), "the name of a pool in the pools table")
+		}
+	}
+}
+
 func (t *tables) decodeRow(key string, data []byte) error {
 	switch {
 	case strings.HasPrefix(key, routePrefix):
--- a/apricotd/version/sharder/sharder.go
+++ b/apricotd/version/sharder/sharder.go
@@ -12,7 +12,8 @@
 //	s := sharder.New(list)
 //	group := s.Group(sharder.ShardOf("organisation/studio-vah/0"))
 //
-// New costs O(n log n) in the number of VMs, Group O(log n) on average. The
+// New costs O(n log n) in the number of VMs, With a copy of the ring, and Group
+// O(log n) on average. The
 // VMs stand on a ring by the hash of their ids, so one VM more or less changes
 // only the groups whose stretch of the ring it is on.
 package sharder
@@ -55,7 +56,7 @@
 
 	point struct {
 		hash uint64
-		vm   locator.VM
+		vm   *locator.VM
 	}
 )
 
@@ -64,15 +65,38 @@
 	s := &Sharder{version: list.Version}
 	for _, vm := range list.VMs() {
 		if vm.State == locator.Live {
-			s.ring = append(s.ring, point{locator.Hash(ringKey, vm.ID), vm})
+			s.ring = append(s.ring, pointOf(vm))
 		}
 	}
-	slices.SortFunc(s.ring, func(a, b point) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.vm.ID, b.vm.ID))
-	})
+	slices.SortFunc(s.ring, comparePoints)
 	return s
 }
 
+// With returns the Sharder of a later version of the list, given the ids of
+// the VMs that changed, were added or were removed.
+func (s *Sharder) With(list *locator.List, changed []string) *Sharder {
+	next := &Sharder{version: list.Version, ring: slices.Clone(s.ring)}
+	for _, id := range changed {
+		at := point{hash: locator.Hash(ringKey, id), vm: &locator.VM{ID: id}}
+		i, ok := slices.BinarySearchFunc(next.ring, at, comparePoints)
+		if ok {
+			next.ring = slices.Delete(next.ring, i, i+1)
+		}
+		if vm, listed := list.VM(id); listed && vm.State == locator.Live {
+			next.ring = slices.Insert(next.ring, i, pointOf(&vm))
+		}
+	}
+	return next
+}
+
+func pointOf(vm *locator.VM) point {
+	return point{locator.Hash(ringKey, vm.ID), vm}
+}
+
+func comparePoints(a, b point) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.vm.ID, b.vm.ID))
+}
+
 // ShardOf returns the shard of a key.
 func ShardOf(key string) Shard {
 	return Shard(locator.Hash("shard", key) % Shards)
@@ -88,14 +112,14 @@
 	start := s.start(shard)
 	home := s.ring[start].vm.Region
 	perDataCentre := make(map[string]int)
-	s.walk(start, func(vm locator.VM) bool {
+	s.walk(start, func(vm *locator.VM) bool {
 		if vm.Region == home && perDataCentre[vm.DataCentre] < maxPerDataCentre {
 			perDataCentre[vm.DataCentre]++
 			g.Members = append(g.Members, vm.ID)
 		}
 		return len(g.Members) < homeMembers
 	})
-	s.walk(start, func(vm locator.VM) bool {
+	s.walk(start, func(vm *locator.VM) bool {
 		if vm.Region != home && perDataCentre[vm.DataCentre] < maxPerDataCentre {
 			perDataCentre[vm.DataCentre]++
 			g.Members = append(g.Members, vm.ID)
@@ -110,7 +134,7 @@
 // for a data centre, then beyond it.
 func (s *Sharder) fillUp(g *Group, start int, perDataCentre map[string]int) {
 	for _, bound := range []int{maxPerDataCentre, groupSize} {
-		s.walk(start, func(vm locator.VM) bool {
+		s.walk(start, func(vm *locator.VM) bool {
 			if len(g.Members) < groupSize && perDataCentre[vm.DataCentre] < bound && !slices.Contains(g.Members, vm.ID) {
 				perDataCentre[vm.DataCentre]++
 				g.Members = append(g.Members, vm.ID)
@@ -127,7 +151,7 @@
 }
 
 // walk visits the ring once from a place while visit returns true.
-func (s *Sharder) walk(start int, visit func(locator.VM) bool) {
+func (s *Sharder) walk(start int, visit func(*locator.VM) bool) {
 	for i := range s.ring {
 		if !visit(s.ring[(start+i)%len(s.ring)].vm) {
 			return
--- a/standin/connector/conn.go
+++ b/standin/connector/conn.go
@@ -101,6 +101,9 @@
 	if s.ended || s.broken {
 		return 0, net.ErrClosed
 	}
+	if s.from != s.to {
+		s.c.bytes.Add(int64(len(p)))
+	}
 	due := time.Now().Add(s.c.latency(s.from, s.to))
 	s.chunks = append(s.chunks, chunk{due, append([]byte(nil), p...)})
 	s.signal()
--- a/standin/connector/connector.go
+++ b/standin/connector/connector.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,7 @@
 		cuts      map[link]bool
 		changed   chan struct{} // closed when a link heals
 		conns     map[*conn]bool
+		bytes     atomic.Int64
 	}
 
 	// A link is a pair of addresses, the lower one first.
@@ -99,6 +101,11 @@
 	}
 }
 
+// Bytes returns the number of bytes sent so far between different addresses.
+func (c *Connector) Bytes() int64 {
+	return c.bytes.Load()
+}
+
 // Cut stops all traffic between two addresses.
 func (c *Connector) Cut(a, b netip.Addr) {
 	c.mu.Lock()
