Remember for which class a peer had no room

Cause: after a lower class was refused, all VMs of a pool were passed over for 50 ms for every class, so that grants found no backend server.

--- a/apricotd/internal/process/balancer/balancer.go
+++ b/apricotd/internal/process/balancer/balancer.go
@@ -60,6 +60,7 @@
 	Choice struct {
 		VM      locator.VM
 		Crosses bool // in another region
+		class   checker.Class
 		b       *Balancer
 		peer    *peer
 	}
@@ -84,6 +85,7 @@
 		suspicion    time.Duration
 		leavingUntil time.Time
 		fullUntil    time.Time
+		fullFor      checker.Class // the highest class that found no room
 		lastUsed     time.Time
 	}
 )
@@ -109,11 +111,11 @@
 		if tier == tiers-1 && !mayCross(p.CrossRegion, class) {
 			break
 		}
-		if vm, ok := b.chooseFrom(vms, tried, now); ok {
+		if vm, ok := b.chooseFrom(vms, tried, class, now); ok {
 			peer := b.peer(vm.ID)
 			peer.sent++
 			peer.lastUsed = now
-			return &Choice{VM: *vm, Crosses: tier == tiers-1, b: b, peer: peer}, true
+			return &Choice{VM: *vm, Crosses: tier == tiers-1, class: class, b: b, peer: peer}, true
 		}
 	}
 	return nil, false
@@ -136,6 +138,9 @@
 		c.peer.suspectUntil = time.Time{}
 	case Full:
 		c.peer.suspicion = 0
+		if !now.Before(c.peer.fullUntil) || c.class > c.peer.fullFor {
+			c.peer.fullFor = c.class
+		}
 		c.peer.fullUntil = now.Add(fullFor)
 	case Failed:
 		c.peer.suspicion = min(max(2*c.peer.suspicion, minSuspicion), maxSuspicion)
@@ -183,12 +188,12 @@
 }
 
 // chooseFrom takes the better of two random usable VMs.
-func (b *Balancer) chooseFrom(vms []*locator.VM, tried map[string]bool, now time.Time) (*locator.VM, bool) {
-	first, ok := b.draw(vms, tried, now, "")
+func (b *Balancer) chooseFrom(vms []*locator.VM, tried map[string]bool, class checker.Class, now time.Time) (*locator.VM, bool) {
+	first, ok := b.draw(vms, tried, class, now, "")
 	if !ok {
 		return nil, false
 	}
-	second, ok := b.draw(vms, tried, now, first.ID)
+	second, ok := b.draw(vms, tried, class, now, first.ID)
 	if ok && b.load(second.ID) < b.load(first.ID) {
 		return second, true
 	}
@@ -198,26 +203,29 @@
 // draw returns a random usable VM other than except. It starts at a random
 // place and takes the first usable VM from there, so it always finds one if
 // there is one.
-func (b *Balancer) draw(vms []*locator.VM, tried map[string]bool, now time.Time, except string) (*locator.VM, bool) {
+func (b *Balancer) draw(vms []*locator.VM, tried map[string]bool, class checker.Class, now time.Time, except string) (*locator.VM, bool) {
 	if len(vms) == 0 {
 		return nil, false
 	}
 	start := rand.IntN(len(vms))
 	for i := range vms {
 		vm := vms[(start+i)%len(vms)]
-		if vm.ID != except && !tried[vm.ID] && b.isUsable(vm.ID, now) {
+		if vm.ID != except && !tried[vm.ID] && b.isUsable(vm.ID, class, now) {
 			return vm, true
 		}
 	}
 	return nil, false
 }
 
-func (b *Balancer) isUsable(id string, now time.Time) bool {
+// isUsable tells whether a VM may be tried. That a lower class found no room
+// says nothing of the room for a higher one.
+func (b *Balancer) isUsable(id string, class checker.Class, now time.Time) bool {
 	p := b.peers[id]
 	if p == nil {
 		return true
 	}
-	return !now.Before(p.suspectUntil) && !now.Before(p.leavingUntil) && !now.Before(p.fullUntil)
+	isFull := now.Before(p.fullUntil) && class <= p.fullFor
+	return !isFull && !now.Before(p.suspectUntil) && !now.Before(p.leavingUntil)
 }
 
 // load estimates how full a VM is. The VM's own report lags, so what this node
