--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -82,6 +82,7 @@
 		runs     map[string]int // by idempotency key
 		served   int            // requests begun
 		leaks    int            // requests that carried a key
+		context  string         // of the last request
 		reports  []report
 	}
 
@@ -145,6 +146,13 @@
 	return r.leaks
 }
 
+// LastContext returns the context of the last request that was begun.
+func (r *Responder) LastContext() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.context
+}
+
 // ServeHTTP answers requests, /load, /health and /runs.
 func (r *Responder) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r.start()
@@ -272,6 +280,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.served++
+	r.context = hr.Header.Get(HeaderContext)
 	if key := hr.Header.Get(headerKey); key != "" {
 		r.runs[key]++
 	}
