Check that the attempts of a call tree are bounded on chains up to 17 deep

Three retries at every layer would be 4^17 at the last service of the deepest chain (computed, not run).

--- /dev/null
+++ b/apricotd/internal/process/node/retries_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"apricotrudder.dev/standin/responder"
+)
+
+// TestRetriesBounded sends requests down a chain whose last service breaks off
+// every request, and checks that all attempts of a call tree together are at
+// most its calls plus the retry tokens fixed at its first node. With three
+// retries at each of d layers it would be 4^d at the last one.
+func TestRetriesBounded(t *testing.T) {
+	for _, depth := range []int{2, 4, 8, 17} {
+		t.Run(fmt.Sprintf("depth=%d", depth), func(t *testing.T) {
+			runFleet(t, func(f *fleet) { checkRetries(t, f, depth) })
+		})
+	}
+}
+
+func checkRetries(t *testing.T, f *fleet, depth int) {
+	const requests, retries = 20, 3
+	tables := defaultTables()
+	tables["routes"], tables["pools"] = "", ""
+	var pools []string
+	for i := range depth {
+		pools = append(pools, fmt.Sprintf("s%02d", i))
+		access := "internal"
+		if i == 0 {
+			access = "key"
+		}
+		tables["pools"] += fmt.Sprintf("[[pool]]\nname = %q\nslots = 10\nconnections = 100\n", pools[i])
+		tables["routes"] += fmt.Sprintf("[[route]]\nname = %q\nmethod = \"GET\"\npath = \"/%s\"\npool = %q\naccess = %q\nidempotent = true\ntimeout = \"5s\"\nretries = %d\n",
+			pools[i], pools[i], pools[i], access, retries)
+	}
+	f.prepare = func(id string, m *machine) {
+		var i int
+		if _, err := fmt.Sscanf(id[strings.LastIndex(id, "s"):], "s%d", &i); err != nil {
+			t.Fatal(err)
+		}
+		m.backend = &responder.Responder{Slots: 10, Connections: 100, ServiceTime: 1e6, Broken: i == depth-1}
+		if i < depth-1 {
+			m.backend.Handles = []responder.Handle{{Path: "/", Calls: []responder.Call{{Method: "GET", Path: "/" + pools[i+1]}}}}
+		}
+	}
+	f.start(pools, 1, tables)
+	via := "r1-d1-s00-1"
+	for range requests {
+		if got := f.send(via, "GET", "/s00", "agency-key", "", nil); got.status == 200 {
+			t.Fatal("got an answer, want a failure")
+		}
+	}
+	attempts := 0
+	for _, m := range f.machine {
+		attempts += m.backend.Served()
+	}
+	if limit := requests * (depth + retries); attempts > limit {
+		t.Errorf("got %d attempts for %d requests, want at most %d", attempts, requests, limit)
+	}
+	t.Logf("depth %d: %.2f attempts a request, %d without failure", depth, float64(attempts)/requests, depth)
+}
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -67,6 +67,8 @@
 		ReportLag   time.Duration
 		ReportSlots int // reported instead of Slots if above 0
 		Handles     []Handle
+		// Broken makes the backend server break off every request.
+		Broken bool
 		// Crash ends the process; nil means that poison is ignored.
 		Crash func()
 		// Client makes the calls to further services.
@@ -198,6 +200,9 @@
 		r.Crash()
 		return
 	}
+	if r.Broken {
+		panic(http.ErrAbortHandler)
+	}
 	if !r.work(hr.Context()) {
 		return
 	}
