Release only the support that was asked for; ask the first member for claims

Requests for support are now counted and a release names its count.

Claims asked the members of an unowned shard in turn, so that several tried to become owner at once.

--- a/apricotd/internal/process/claimer/claimer.go
+++ b/apricotd/internal/process/claimer/claimer.go
@@ -49,7 +49,7 @@
 	pollPause = 30 * time.Millisecond
 	// ownerPause separates the questions to members of a group without owner.
 	ownerPause    = 20 * time.Millisecond
-	claimTimeout  = 300 * time.Millisecond
+	claimTimeout  = 500 * time.Millisecond
 	settleTimeout = time.Second
 	// unclaimedWait is how long an attempt looks for an owner of the shard.
 	unclaimedWait = 4 * time.Second
@@ -81,7 +81,7 @@
 		mu     sync.Mutex
 		shards map[sharder.Shard]*records
 		owners map[sharder.Shard]string // VM that last answered as owner
-		turn   int                      // member to be asked without known owner
+		turns  map[sharder.Shard]int    // members that have been asked in vain since
 		// answers is the size of all recorded answers, in bytes.
 		answers int
 	}
@@ -106,12 +106,18 @@
 func (Recorded) verdict() {}
 func (Denied) verdict()   {}
 
+// ShardOf returns the shard in which the requests with a key are claimed.
+func ShardOf(key string) sharder.Shard {
+	id := sha256.Sum256([]byte(key))
+	return sharder.ShardOf("claim/" + hex.EncodeToString(id[:]))
+}
+
 // Claim asks for the right to run a request, until the deadline.
 func (c *Claimer) Claim(ctx context.Context, key string, fingerprint []byte, deadline time.Time) (*Claim, Verdict) {
 	id := sha256.Sum256([]byte(key))
 	claim := &Claim{
 		claimer:  c,
-		shard:    sharder.ShardOf("claim/" + hex.EncodeToString(id[:])),
+		shard:    ShardOf(key),
 		id:       id[:],
 		claimant: c.Process + "/" + rand.Text(),
 	}
@@ -231,8 +237,7 @@
 	if !ok || len(group.Members) == 0 {
 		return "", false
 	}
-	c.turn++
-	return group.Members[c.turn%len(group.Members)], true
+	return group.Members[c.turns[id]%len(group.Members)], true
 }
 
 // note remembers who answered as owner, or whom to ask instead.
@@ -241,14 +246,17 @@
 	defer c.mu.Unlock()
 	if c.owners == nil {
 		c.owners = make(map[sharder.Shard]string)
+		c.turns = make(map[sharder.Shard]int)
 	}
 	switch {
 	case !missed:
 		c.owners[id] = vm
+		delete(c.turns, id)
 	case hint != "" && hint != vm:
 		c.owners[id] = hint
 	default:
 		delete(c.owners, id)
+		c.turns[id]++
 	}
 }
 
--- a/apricotd/internal/process/claimer/keeper.go
+++ b/apricotd/internal/process/claimer/keeper.go
@@ -15,6 +15,8 @@
 
 const (
 	storeTimeout = 250 * time.Millisecond
+	// ownerWait is how long a claim waits for this node to become owner.
+	ownerWait = 150 * time.Millisecond
 	// maxAnswer bounds the answers that are recorded, in bytes; of larger ones
 	// only the fact that they were given is kept.
 	maxAnswer = 16 << 10
@@ -48,8 +50,7 @@
 // Decide answers a claim as the shard's owner.
 func (c *Claimer) Decide(ctx context.Context, r *peerwire.ClaimRequest) *peerwire.ClaimResponse {
 	id := sharder.Shard(r.Shard)
-	term := c.Leaser.Hold(id)
-	if term == nil {
+	if c.Leaser.Await(ctx, id, ownerWait) == nil {
 		return &peerwire.ClaimResponse{State: peerwire.ClaimState_CLAIM_STATE_NOT_OWNER, Owner: c.Leaser.Owner(id)}
 	}
 	state, answer := c.enter(id, r)
--- a/apricotd/internal/process/leaser/leaser.go
+++ b/apricotd/internal/process/leaser/leaser.go
@@ -54,7 +54,8 @@
 	// askTimeout bounds one exchange with a member.
 	askTimeout = 400 * time.Millisecond
 	// idleFor is how long a shard is kept without being used.
-	idleFor = 30 * time.Second
+	idleFor    = 30 * time.Second
+	awaitPause = 3 * time.Millisecond
 	// retryPause separates attempts to become owner.
 	retryPause = 100 * time.Millisecond
 	// forgottenAfter is how long a starting member waits for others before it
@@ -131,12 +132,14 @@
 		owner        string
 		ownerProcess string
 		ownerGroup   sharder.Group
+		ownerRound   uint64            // of the last vouch
 		leaseBegun   timekeeper.Moment // of the last vouch; zero: none
 
 		// As owner.
 		tending  bool
 		used     timekeeper.Moment
 		asked    timekeeper.Moment // when the support in force was asked for
+		round    uint64            // counts requests for support
 		current  *Term
 		released bool // gave up the lease in force
 		ended    bool // another owner may have acted since
@@ -188,6 +191,25 @@
 	return nil
 }
 
+// Await is Hold for a caller that would rather wait a little than look
+// elsewhere while this node is about to become owner.
+func (l *Leaser) Await(ctx context.Context, id sharder.Shard, limit time.Duration) *Term {
+	begun := timekeeper.Now()
+	for {
+		t := l.Hold(id)
+		if t != nil || !l.isTending(id) || begun.Age() > limit || ctx.Err() != nil {
+			return t
+		}
+		l.sleep(awaitPause)
+	}
+}
+
+func (l *Leaser) isTending(id sharder.Shard) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shard(id).tending
+}
+
 // Owner returns the VM that this node supports as owner, or "".
 func (l *Leaser) Owner(id sharder.Shard) string {
 	l.mu.Lock()
--- a/apricotd/internal/process/leaser/owner.go
+++ b/apricotd/internal/process/leaser/owner.go
@@ -351,7 +351,11 @@
 // the answers that came in time.
 func (l *Leaser) askFor(members sharder.Group, s *shard, group sharder.Group, kind peerwire.WitnessKind) replies {
 	l.mu.Lock()
+	if kind == peerwire.WitnessKind_WITNESS_KIND_VOUCH {
+		s.round++
+	}
 	request := &peerwire.WitnessRequest{
+		Round:       s.round,
 		Shard:       uint32(s.id),
 		Kind:        kind,
 		Vm:          l.Self,
--- a/apricotd/internal/process/leaser/witness.go
+++ b/apricotd/internal/process/leaser/witness.go
@@ -35,9 +35,9 @@
 	case peerwire.WitnessKind_WITNESS_KIND_PROMISE:
 		response.Granted = s.promise(group)
 	case peerwire.WitnessKind_WITNESS_KIND_VOUCH:
-		response.Granted = l.vouch(s, group, r.Vm, r.Process)
+		response.Granted = l.vouch(s, group, r)
 	case peerwire.WitnessKind_WITNESS_KIND_RELEASE:
-		response.Granted = s.release(r.Vm, r.Process)
+		response.Granted = s.release(r)
 	}
 	if response.Granted && r.Kind != peerwire.WitnessKind_WITNESS_KIND_RELEASE && r.Vm != l.Self {
 		// Whoever has this node's word relies on it to act no longer.
@@ -83,25 +83,30 @@
 // vouch supports the sender as owner. Members support only owners of the group
 // that they themselves compute, so that a member has learned of its group
 // before it counts in it.
-func (l *Leaser) vouch(s *shard, g sharder.Group, vm, process string) bool {
+func (l *Leaser) vouch(s *shard, g sharder.Group, r *peerwire.WitnessRequest) bool {
 	own, ok := l.Group(s.id)
 	if !ok || !own.IsSame(g) || s.learning || s.isOutdated(g) {
 		return false
 	}
-	isSame := s.owner == vm && s.ownerProcess == process
+	isSame := s.owner == r.Vm && s.ownerProcess == r.Process
 	if _, left := s.supported(); left > 0 && !isSame {
 		return false
 	}
 	s.addPending(g)
-	s.owner = vm
-	s.ownerProcess = process
+	if !isSame {
+		s.ownerRound = 0
+	}
+	s.owner = r.Vm
+	s.ownerProcess = r.Process
+	s.ownerRound = max(s.ownerRound, r.Round)
 	s.ownerGroup = g
 	s.leaseBegun = timekeeper.Now()
 	return true
 }
 
-func (s *shard) release(vm, process string) bool {
-	if s.owner != vm || s.ownerProcess != process {
+// release ends the support, unless the owner has asked for it again since.
+func (s *shard) release(r *peerwire.WitnessRequest) bool {
+	if s.owner != r.Vm || s.ownerProcess != r.Process || r.Round < s.ownerRound {
 		return false
 	}
 	s.leaseBegun = timekeeper.Moment{}
--- a/apricotd/internal/process/node/claims_test.go
+++ b/apricotd/internal/process/node/claims_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"apricotrudder.dev/apricotd/internal/process/claimer"
 )
 
 // TestOnceUnderFaults resends requests at many nodes at once while faults are
@@ -122,3 +124,17 @@
 	defer l.mu.Unlock()
 	return l.runs[key]
 }
+
+// claimOwner returns the VM that owns the shard of a claim.
+func (f *fleet) claimOwner(id string) string {
+	for _, vm := range f.ids() {
+		if f.machine[vm].cancel == nil {
+			continue
+		}
+		if owner := f.machine[vm].node.leaser.Owner(claimer.ShardOf(id)); owner != "" {
+			return owner
+		}
+	}
+	f.t.Fatalf("got no owner of the claim of %s", id)
+	return ""
+}
--- a/apricotd/internal/process/node/script_test.go
+++ b/apricotd/internal/process/node/script_test.go
@@ -24,6 +24,7 @@
 //	platform stop|freeze|restart|slow
 //	cut A B, heal A B     VMs, data centres, regions, "platform" or "all"
 //	kill VM, restart VM, halt VM
+//	killOwner ID          kill the VM that owns the shard of a claim
 //	send VIA METHOD PATH KEY IDEMPOTENCYKEY = REASON   ("-" for none)
 //	version VM N          the tables' version in force
 //	runs KEY <= N         how often a request id was begun, everywhere
@@ -100,6 +101,8 @@
 		f.cut(args[0], args[1], command == "heal")
 	case "kill":
 		f.kill(args[0])
+	case "killOwner":
+		f.kill(f.claimOwner(args[0]))
 	case "restart":
 		f.restart(args[0])
 	case "halt":
