Give TestRetriesBounded the power to see unbounded tokens

It passed with tokens that were never spent: the pool's budget and the few backend servers bounded the attempts first. Now the budget is out of the way and there are more backend servers than tokens: the bound is reached exactly (5.00 at depth 2, 7.00 at depth 4) and the mutant fails with 7 and 9.

--- a/apricotd/internal/process/node/retries_test.go
+++ b/apricotd/internal/process/node/retries_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"apricotrudder.dev/standin/responder"
 )
@@ -13,15 +14,17 @@
 // most its calls plus the retry tokens fixed at its first node. With three
 // retries at each of d layers it would be 4^d at the last one.
 func TestRetriesBounded(t *testing.T) {
-	for _, depth := range []int{2, 4, 8, 17} {
-		t.Run(fmt.Sprintf("depth=%d", depth), func(t *testing.T) {
-			runFleet(t, func(f *fleet) { checkRetries(t, f, depth) })
+	for _, c := range []struct{ depth, perDataCentre int }{{2, 3}, {4, 3}, {17, 1}} {
+		t.Run(fmt.Sprintf("depth=%d", c.depth), func(t *testing.T) {
+			runFleet(t, func(f *fleet) { checkRetries(t, f, c.depth, c.perDataCentre) })
 		})
 	}
 }
 
-func checkRetries(t *testing.T, f *fleet, depth int) {
+func checkRetries(t *testing.T, f *fleet, depth, perDataCentre int) {
 	const requests, retries = 20, 3
+	// Every backend server may be tried again.
+	const suspicionEnds = 6 * time.Second
 	tables := defaultTables()
 	tables["routes"], tables["pools"] = "", ""
 	var pools []string
@@ -45,9 +48,14 @@
 			m.backend.Handles = []responder.Handle{{Path: "/", Calls: []responder.Call{{Method: "GET", Path: "/" + pools[i+1]}}}}
 		}
 	}
-	f.start(pools, 1, tables)
+	f.start(pools, perDataCentre, tables)
+	for _, m := range f.machine {
+		// The tokens alone must bound the attempts.
+		m.node.router.Budget.Ratio, m.node.router.Budget.Max = 1e9, 1e9
+	}
 	via := "r1-d1-s00-1"
 	for range requests {
+		time.Sleep(suspicionEnds)
 		if got := f.send(via, "GET", "/s00", "agency-key", "", nil); got.status == 200 {
 			t.Fatal("got an answer, want a failure")
 		}
