--- a/apricotd/internal/process/claimer/claimer.go
+++ b/apricotd/internal/process/claimer/claimer.go
@@ -74,14 +74,11 @@
 		Self    string // VM
 		Process string
 		Leaser  *leaser.Leaser
-		// Group returns the group of a shard by the VM list in force.
-		Group func(sharder.Shard) (sharder.Group, bool)
-		Peer  func(vm string) peerwireconnect.PeerServiceClient
+		Finder  *leaser.Finder
+		Peer    func(vm string) peerwireconnect.PeerServiceClient
 
 		mu     sync.Mutex
 		shards map[sharder.Shard]*records
-		owners map[sharder.Shard]string // VM that last answered as owner
-		turns  map[sharder.Shard]int    // members that have been asked in vain since
 		// answers is the size of all recorded answers, in bytes.
 		answers int
 	}
@@ -158,7 +155,7 @@
 		Fingerprint: fingerprint,
 		Remaining:   durationpb.New(remaining),
 	}
-	vm, ok := c.target(claim.shard)
+	vm, ok := c.Finder.Target(claim.shard)
 	if !ok {
 		return &peerwire.ClaimResponse{State: peerwire.ClaimState_CLAIM_STATE_UNAVAILABLE}
 	}
@@ -202,7 +199,7 @@
 
 func (cl *Claim) settleOnce(ctx context.Context, r *peerwire.SettleRequest) bool {
 	c := cl.claimer
-	vm, ok := c.target(cl.shard)
+	vm, ok := c.Finder.Target(cl.shard)
 	if !ok {
 		return false
 	}
@@ -226,38 +223,13 @@
 	go cl.Settle(nil, true)
 }
 
-// target returns the VM to be asked about a shard.
-func (c *Claimer) target(id sharder.Shard) (string, bool) {
-	group, ok := c.Group(id)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if owner := c.owners[id]; owner != "" {
-		return owner, true
-	}
-	if !ok || len(group.Members) == 0 {
-		return "", false
-	}
-	return group.Members[c.turns[id]%len(group.Members)], true
-}
-
 // note remembers who answered as owner, or whom to ask instead.
 func (c *Claimer) note(id sharder.Shard, vm string, missed bool, hint string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.owners == nil {
-		c.owners = make(map[sharder.Shard]string)
-		c.turns = make(map[sharder.Shard]int)
-	}
-	switch {
-	case !missed:
-		c.owners[id] = vm
-		delete(c.turns, id)
-	case hint != "" && hint != vm:
-		c.owners[id] = hint
-	default:
-		delete(c.owners, id)
-		c.turns[id]++
+	if missed {
+		c.Finder.Missed(id, vm, hint)
+		return
 	}
+	c.Finder.Answered(id, vm)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/apricotd/internal/process/limiter/borrower.go
+++ b/apricotd/internal/process/limiter/borrower.go
@@ -39,8 +39,6 @@
 		mu      sync.Mutex
 		waiting []*waiter
 		running bool
-		owner   string // VM that last lent
-		next    int    // member of the group to be asked without known owner
 	}
 
 	waiter struct {
@@ -78,7 +76,6 @@
 		r, err := b.ask(uint32(wanted))
 		switch {
 		case err != nil || r.NotOwner:
-			b.missed(r)
 			b.refuse(maxWait, &UnavailableError{Organisation: b.organisation, RetryAfter: unavailableRetry})
 			time.Sleep(ownerPause)
 		case asked.Age() > r.ValidFor.AsDuration():
@@ -151,10 +148,25 @@
 		Bucket:       uint32(b.index),
 		Wanted:       wanted,
 	}
-	vm, ok := b.target()
+	finder := b.limiter.Finder
+	vm, ok := finder.Target(b.shard)
 	if !ok {
 		return nil, fmt.Errorf("borrow for %s: got no group of shard %d", b.organisation, b.shard)
 	}
+	response, err := b.askVM(vm, r)
+	switch {
+	case err != nil:
+		finder.Missed(b.shard, vm, "")
+		return nil, err
+	case response.NotOwner:
+		finder.Missed(b.shard, vm, response.Owner)
+	default:
+		finder.Answered(b.shard, vm)
+	}
+	return response, nil
+}
+
+func (b *borrower) askVM(vm string, r *peerwire.BorrowRequest) (*peerwire.BorrowResponse, error) {
 	if vm == b.limiter.Self {
 		return b.limiter.Lend(r), nil
 	}
@@ -164,42 +176,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("borrow from %s: %w", vm, err)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !response.Msg.NotOwner {
-		b.owner = vm
-	}
 	return response.Msg, nil
 }
 
-// target returns the VM to be asked: the owner if known, else the members of
-// the group in turn, beginning with the one that should be owner.
-func (b *borrower) target() (string, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.owner != "" {
-		return b.owner, true
-	}
-	group, ok := b.limiter.Group(b.shard)
-	if !ok || len(group.Members) == 0 {
-		return "", false
-	}
-	return group.Members[b.next%len(group.Members)], true
-}
-
-// missed chooses whom to ask next after a VM that is not the owner or did not
-// answer.
-func (b *borrower) missed(r *peerwire.BorrowResponse) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r != nil && r.Owner != "" && r.Owner != b.owner {
-		b.owner = r.Owner
-		return
-	}
-	b.owner = ""
-	b.next++
-}
-
 func hash(s string) uint64 {
 	return locator.Hash("borrower", s)
 }
--- a/apricotd/internal/process/limiter/limiter.go
+++ b/apricotd/internal/process/limiter/limiter.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	l := &limiter.Limiter{Leaser: leaser, Group: group, Peer: peer, Config: config, Self: id}
+//	l := &limiter.Limiter{Leaser: leaser, Finder: finder, Group: group, Peer: peer, Config: config, Self: id}
 //	go l.Run(ctx)
 //	err := l.Take(ctx, organisation) // nil, *ExceededError or *UnavailableError
 //	response := l.Lend(request)      // for peers
@@ -55,6 +55,7 @@
 	Limiter struct {
 		Self   string // VM
 		Leaser *leaser.Leaser
+		Finder *leaser.Finder
 		// Group returns the group of a shard by the VM list in force.
 		Group func(sharder.Shard) (sharder.Group, bool)
 		Peer  func(vm string) peerwireconnect.PeerServiceClient
--- a/apricotd/internal/process/node/node.go
+++ b/apricotd/internal/process/node/node.go
@@ -175,10 +175,11 @@
 }
 
 func (n *Node) buildOwnership() {
+	finder := &leaser.Finder{Group: n.group}
 	n.claimer = &claimer.Claimer{
 		Self:    n.Settings.VM,
 		Process: n.process,
-		Group:   n.group,
+		Finder:  finder,
 		Peer:    n.forwarder.Peer,
 	}
 	n.leaser = &leaser.Leaser{
@@ -198,6 +199,7 @@
 	n.limiter = &limiter.Limiter{
 		Self:   n.Settings.VM,
 		Leaser: n.leaser,
+		Finder: finder,
 		Group:  n.group,
 		Peer:   n.forwarder.Peer,
 		Config: n.config,
--- a/apricotd/internal/request/router/attempts.go
+++ b/apricotd/internal/request/router/attempts.go
@@ -88,15 +88,14 @@
 			Depth:          rq.call.Depth,
 			KeyDigest:      rq.call.KeyDigest,
 		},
-		Route:         rq.route.Name,
-		Pool:          rq.pool.Name,
-		Method:        rq.method,
-		Path:          rq.path,
-		Query:         rq.query,
-		Headers:       rq.header,
-		Body:          rq.body,
-		Vm:            vm,
-		ConfigVersion: rq.view.Config.Version,
+		Route:   rq.route.Name,
+		Pool:    rq.pool.Name,
+		Method:  rq.method,
+		Path:    rq.path,
+		Query:   rq.query,
+		Headers: rq.header,
+		Body:    rq.body,
+		Vm:      vm,
 	}
 }
 
