--- a/apricotd/internal/process/auditor/auditor.go
+++ b/apricotd/internal/process/auditor/auditor.go
@@ -3,9 +3,9 @@
 //
 // The trail is bounded and lives in memory, because VMs have no disks; every
 // entry is also written to the log, from which the platform may collect it.
-// Refusals are counted by the metrics and enter the trail only for the first
-// of each reason within a second, so that overload cannot push out the record
-// of changes.
+// Frequent events, refusals and leases, are kept apart from changes, so that
+// they cannot push out the record of changes. Refusals are counted by the
+// metrics and enter the trail only for the first of each reason within a second.
 //
 // # Usage
 //
@@ -17,6 +17,7 @@
 package auditor
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -65,13 +66,19 @@
 	// An Auditor keeps the most recent entries.
 	Auditor struct {
 		Log      logrus.FieldLogger // nil: entries are kept but not logged
-		Capacity int                // entries; 0 means 1000
+		Capacity int                // changes kept, and events kept; 0 means 1000
 
 		mu       sync.Mutex
-		entries  []Entry
-		next     int
+		changes  ring
+		events   ring
 		refusals map[string]time.Time
 	}
+
+	// A ring keeps the most recent of its entries.
+	ring struct {
+		entries []Entry
+		next    int
+	}
 )
 
 // Record adds an entry, stamped with the present time.
@@ -106,13 +113,9 @@
 func (a *Auditor) Entries(n int) []Entry {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n = min(n, len(a.entries))
-	out := make([]Entry, 0, n)
-	for i := 1; i <= n; i++ {
-		at := (a.next - i + len(a.entries)) % len(a.entries)
-		out = append(out, a.entries[at])
-	}
-	return out
+	all := slices.Concat(a.changes.entries, a.events.entries)
+	slices.SortStableFunc(all, func(x, y Entry) int { return y.Time.Compare(x.Time) })
+	return all[:min(n, len(all))]
 }
 
 func (a *Auditor) add(e Entry) {
@@ -120,13 +123,21 @@
 	if capacity == 0 {
 		capacity = defaultCapacity
 	}
-	if len(a.entries) < capacity {
-		a.entries = append(a.entries, e)
-		a.next = len(a.entries) % capacity
+	switch e.Kind {
+	case Refusal, LeaseGained, LeaseLost:
+		a.events.add(e, capacity)
+	default:
+		a.changes.add(e, capacity)
+	}
+}
+
+func (r *ring) add(e Entry, capacity int) {
+	if len(r.entries) < capacity {
+		r.entries = append(r.entries, e)
 		return
 	}
-	a.entries[a.next] = e
-	a.next = (a.next + 1) % capacity
+	r.entries[r.next] = e
+	r.next = (r.next + 1) % capacity
 }
 
 func (a *Auditor) log(e Entry) {
--- a/apricotd/internal/process/node/fleet_test.go
+++ b/apricotd/internal/process/node/fleet_test.go
@@ -217,7 +217,8 @@
 		f.t.Fatalf("listen for backend server of %s: %v", id, err)
 	}
 	m.server = &http.Server{Handler: m.backend}
-	go func(s *http.Server) { _ = s.Serve(listener) }(m.server)
+	limited := m.backend.Limit(listener)
+	go func(s *http.Server) { _ = s.Serve(limited) }(m.server)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m.node = &Node{
--- a/standin/connector/conn.go
+++ b/standin/connector/conn.go
@@ -197,3 +197,9 @@
 	case <-healed:
 	}
 }
+
+// CloseWrite ends the sending direction alone.
+func (n *conn) CloseWrite() error {
+	n.out.end()
+	return nil
+}
--- a/standin/launcher/deployment.go
+++ b/standin/launcher/deployment.go
@@ -59,6 +59,9 @@
 		Slots         int                `toml:"slots"`
 		Connections   int                `toml:"connections"`
 		ServiceMicros int                `toml:"serviceMicros"`
+		ColdStartMs   int                `toml:"coldStartMs"`
+		ReportLagMs   int                `toml:"reportLagMs"`
+		ReportSlots   int                `toml:"reportSlots"` // reported instead of slots
 		Handle        []responder.Handle `toml:"handle"`
 	}
 )
--- a/standin/main.go
+++ b/standin/main.go
@@ -72,11 +72,15 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	p := &publisher.Publisher{}
-	go serveUntil(ctx, c.Listen, p)
+	failed := make(chan error, 1)
+	go func() { failed <- serveUntil(ctx, c.Listen, p, nil) }()
 	files := &publisher.Files{Directory: c.Tables, Publisher: p, Lag: c.Lag}
 	if err := files.Run(ctx); err != nil {
 		return err
 	}
+	if err := <-failed; err != nil {
+		return err
+	}
 	fmt.Printf("calls answered: %d\n", p.Calls())
 	return nil
 }
@@ -99,11 +103,14 @@
 		Slots:       s.Slots,
 		Connections: s.Connections,
 		ServiceTime: time.Duration(s.ServiceMicros) * time.Microsecond,
+		ColdStart:   time.Duration(s.ColdStartMs) * time.Millisecond,
+		ReportLag:   time.Duration(s.ReportLagMs) * time.Millisecond,
+		ReportSlots: s.ReportSlots,
 		Handles:     s.Handle,
 		Crash:       func() { os.Exit(crashStatus) },
 		Client:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Connections}},
 	}
-	return serveUntil(ctx, s.Listen, r)
+	return serveUntil(ctx, s.Listen, r, r.Limit)
 }
 
 // Execute runs the demo.
@@ -114,11 +121,15 @@
 	return l.Run(ctx)
 }
 
-func serveUntil(ctx context.Context, address string, handler http.Handler) error {
+// serveUntil serves until the context ends, through limit if it is given.
+func serveUntil(ctx context.Context, address string, handler http.Handler, limit func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if limit != nil {
+		listener = limit(listener)
+	}
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	context.AfterFunc(ctx, func() {
 		// Requests being served have ended: the nodes are stopped first.
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -20,11 +20,14 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
 // Header fields that the stand-in understands beside the documented ones.
@@ -109,6 +112,12 @@
 	}
 )
 
+// Limit returns a listener that accepts as many connections at once as the
+// backend server does; further ones wait to be accepted.
+func (r *Responder) Limit(l net.Listener) net.Listener {
+	return netutil.LimitListener(l, r.Connections)
+}
+
 // Drain makes the backend server report that it is leaving.
 func (r *Responder) Drain() {
 	r.mu.Lock()
@@ -155,7 +164,7 @@
 	return r.context
 }
 
-// ServeHTTP answers requests, /load, /health and /runs.
+// ServeHTTP answers requests, /load, /health and /runs; /drain makes it drain.
 func (r *Responder) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r.start()
 	switch hr.URL.Path {
@@ -163,6 +172,9 @@
 		writeJSON(w, http.StatusOK, r.load())
 	case "/health":
 		fmt.Fprintln(w, "ok")
+	case "/drain":
+		r.Drain()
+		fmt.Fprintln(w, "draining")
 	case "/runs":
 		writeJSON(w, http.StatusOK, r.Runs())
 	default:
