--- a/apricotd/internal/process/node/measure_test.go
+++ b/apricotd/internal/process/node/measure_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -86,3 +89,35 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// TestMeasureRegionCut reports the share of requests within an organisation's
+// rate that are refused while the regions are cut from each other, on the side
+// of the bucket's owner and on the other.
+func TestMeasureRegionCut(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	runFleet(t, func(f *fleet) {
+		f.start([]string{"catalogue", "licensing"}, 1, defaultTables())
+		owner := f.ownerOf("agency")
+		f.cut("r1", "r2", false)
+		defer f.cut("r1", "r2", true)
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for _, region := range []string{"r1", "r2"} {
+			var via []string
+			for _, id := range f.ids() {
+				if strings.HasPrefix(id, region) {
+					via = append(via, id)
+				}
+			}
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				d := &demand{f: f, organisation: "agency"}
+				d.run(ctx, 0.95*50/2, via)
+				t.Logf("region %s, owner %s: %d of %d refused", region, owner, len(d.refused), d.asked)
+			})
+		}
+	})
+}
