--- a/apricotd/internal/process/node/claims_test.go
+++ b/apricotd/internal/process/node/claims_test.go
@@ -52,6 +52,7 @@
 	defer f.close()
 	f.start([]string{"catalogue", "licensing"}, 1, defaultTables())
 	core := f.ids()
+	spares := f.spares(4)
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
 	runs := newRunLog()
@@ -59,7 +60,7 @@
 	histories := make([]*history, 120)
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		x := &faults{f: f, r: rand.New(rand.NewPCG(seed, 4)), core: core, spares: f.spares(4), before: runs.collect}
+		x := &faults{f: f, r: rand.New(rand.NewPCG(seed, 4)), core: core, spares: spares, before: runs.collect}
 		x.run(ctx)
 	})
 	for i := range histories {
--- a/apricotd/internal/process/node/faults_test.go
+++ b/apricotd/internal/process/node/faults_test.go
@@ -22,6 +22,8 @@
 	spares []string
 	undo   []func()
 	down   string
+	// spared leaves the platform alone.
+	spared bool
 	// before is called for a killed VM before it is started anew.
 	before func(f *fleet, id string)
 	trace  func(format string, args ...any)
@@ -58,7 +60,7 @@
 }
 
 func (x *faults) cause() {
-	switch x.r.IntN(9) {
+	switch x.r.IntN(11) {
 	case 0:
 		x.vanish(x.victim())
 	case 1:
@@ -70,10 +72,16 @@
 	case 4:
 		x.cut(x.victim(), x.victim())
 	case 5:
+		if x.spared {
+			return
+		}
 		x.log("platform stops")
 		x.f.tables.Stop()
 		x.undo = append(x.undo, func() { x.log("platform back"); x.f.tables.Restart() })
 	case 6:
+		if x.spared {
+			return
+		}
 		x.log("platform freezes")
 		x.f.tables.Freeze()
 		x.undo = append(x.undo, func() { x.log("platform current"); x.f.tables.Restart() })
@@ -81,6 +89,10 @@
 		x.relist()
 	case 8:
 		x.join()
+	case 9:
+		x.isolate([]string{"r1", "r2", x.victim()}[x.r.IntN(3)])
+	case 10:
+		x.cut(x.victim(), "platform")
 	}
 }
 
@@ -118,6 +130,33 @@
 	})
 }
 
+// isolate cuts a region or a VM from all others and from the platform.
+func (x *faults) isolate(part string) {
+	if x.down != "" {
+		return
+	}
+	x.log("isolate %s", part)
+	inside := make(map[string]bool)
+	for _, a := range x.f.addresses(part) {
+		inside[a.String()] = true
+	}
+	var outside []string
+	for _, id := range x.f.ids() {
+		if !inside[x.f.machine[id].address.String()] {
+			outside = append(outside, id)
+		}
+	}
+	for _, id := range append(outside, "platform") {
+		x.f.cut(part, id, false)
+	}
+	x.undo = append(x.undo, func() {
+		x.log("join %s again", part)
+		for _, id := range append(outside, "platform") {
+			x.f.cut(part, id, true)
+		}
+	})
+}
+
 // relist takes a VM out of the list for a while, although it runs.
 func (x *faults) relist() {
 	id := x.victim()
