Give a group the claims after every preparation, and drop dead names

Found on reading the change again. The owner remembered which group it had last given the claims, and skipped a group that had had an owner before. When another group had one in between, the claims made there stayed with that group and this owner alone, and an owner after it could miss them: a request could have run twice. The preparation itself now decides, which is simpler than the two conditions. TestSyncAfterPrepare failed before (synced 1 time, want 2) and passes.

Also gone, since nothing used them: Config.RouteNames, Choice.Crosses, and the quarantined reason and audit kind.

--- a/apricotd/internal/process/auditor/auditor.go
+++ b/apricotd/internal/process/auditor/auditor.go
@@ -46,7 +46,6 @@
 	Refusal        Kind = "refusal"
 	BackendDown    Kind = "backendDown"
 	BackendUp      Kind = "backendUp"
-	Quarantined    Kind = "quarantined"
 )
 
 type (
--- a/apricotd/internal/process/balancer/balancer.go
+++ b/apricotd/internal/process/balancer/balancer.go
@@ -58,11 +58,10 @@
 
 	// A Choice is one chosen VM.
 	Choice struct {
-		VM      locator.VM
-		Crosses bool // in another region
-		class   checker.Class
-		b       *Balancer
-		peer    *peer
+		VM    locator.VM
+		class checker.Class
+		b     *Balancer
+		peer  *peer
 	}
 
 	// A Balancer remembers the load and failures of peers.
@@ -115,7 +114,7 @@
 			peer := b.peer(vm.ID)
 			peer.sent++
 			peer.lastUsed = now
-			return &Choice{VM: *vm, Crosses: tier == tiers-1, class: class, b: b, peer: peer}, true
+			return &Choice{VM: *vm, class: class, b: b, peer: peer}, true
 		}
 	}
 	return nil, false
--- a/apricotd/internal/process/leaser/leaser.go
+++ b/apricotd/internal/process/leaser/leaser.go
@@ -146,7 +146,7 @@
 		endings  int  // counts how often ended was set
 		// stuckSince is when promises began to be too few; zero: they are not.
 		stuckSince timekeeper.Moment
-		synced     sharder.Group // a majority of it keeps all that the owner does
+		synced     bool // a majority keeps all that the owner does, since it prepared
 	}
 )
 
--- a/apricotd/internal/process/leaser/owner.go
+++ b/apricotd/internal/process/leaser/owner.go
@@ -81,20 +81,16 @@
 	return false
 }
 
-// sync makes a new group keep what the group before it kept. A group that has
-// had an owner already keeps it: its majorities have a member in common.
+// sync makes the group keep what the groups before it kept, once after every
+// preparation: another group may have had an owner in between, even if this one
+// had one before. Until the group is prepared anew, its majorities have a member
+// in common.
 func (l *Leaser) sync(s *shard, group sharder.Group) bool {
-	if l.Replica == nil || s.synced.IsSame(group) {
+	if l.Replica == nil || s.synced {
 		return true
 	}
-	l.mu.Lock()
-	isKnown := s.established.IsSame(group)
-	l.mu.Unlock()
-	if !isKnown && !l.Replica.Sync(l.ctx, s.id, group) {
-		return false
-	}
-	s.synced = group
-	return true
+	s.synced = l.Replica.Sync(l.ctx, s.id, group)
+	return s.synced
 }
 
 // extend records the support, unless this node has given its word to another
--- a/apricotd/internal/process/leaser/prepare.go
+++ b/apricotd/internal/process/leaser/prepare.go
@@ -33,6 +33,7 @@
 			return false
 		}
 	}
+	s.synced = false
 	return len(first) == len(second)
 }
 
--- a/apricotd/internal/process/leaser/witness_test.go
+++ b/apricotd/internal/process/leaser/witness_test.go
@@ -1,6 +1,7 @@
 package leaser
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,3 +46,43 @@
 		}
 	})
 }
+
+// countingReplica counts how often a group was given what the owner keeps.
+type countingReplica struct{ synced int }
+
+func (r *countingReplica) Claims(sharder.Shard) []*peerwire.ClaimRecord  { return nil }
+func (r *countingReplica) Absorb(sharder.Shard, []*peerwire.ClaimRecord) {}
+func (r *countingReplica) Sync(context.Context, sharder.Shard, sharder.Group) bool {
+	r.synced++
+	return true
+}
+
+// TestSyncAfterPrepare checks that a group which had an owner before another
+// group did is given the claims again when it comes back.
+func TestSyncAfterPrepare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := sharder.Group{Version: 1, Members: []string{"a"}}
+		replica := &countingReplica{}
+		l := &Leaser{
+			Self:     "a",
+			Process:  "a/1",
+			Group:    func(sharder.Shard) (sharder.Group, bool) { return group, true },
+			IsListed: func(string) bool { return true },
+			StaleFor: func() time.Duration { return 0 },
+			Audit:    &auditor.Auditor{},
+			Replica:  replica,
+		}
+		l.Start()
+		defer l.Stop()
+		s := l.shard(testShard)
+		s.learning = false
+		for round := 1; round <= 2; round++ {
+			if !l.prepare(s, group) || !l.renew(s, group) || !l.renew(s, group) {
+				t.Fatal("got no lease, want one")
+			}
+			if replica.synced != round {
+				t.Errorf("round %d: got %d times synced, want %d", round, replica.synced, round)
+			}
+		}
+	})
+}
--- a/apricotd/internal/request/reporter/reporter.go
+++ b/apricotd/internal/request/reporter/reporter.go
@@ -42,7 +42,6 @@
 	Leaving               Reason = "leaving"
 	NotReady              Reason = "notReady"
 	WrongNode             Reason = "wrongNode"
-	Quarantined           Reason = "quarantined"
 	ClaimUnavailable      Reason = "claimUnavailable"
 	ResultUnknown         Reason = "resultUnknown"
 	BackendFailed         Reason = "backendFailed"
--- a/apricotd/version/checker/checker.go
+++ b/apricotd/version/checker/checker.go
@@ -20,7 +20,6 @@
 	"encoding/hex"
 	stderrors "errors"
 	"fmt"
-	"sort"
 	"strings"
 
 	"apricotrudder.dev/apricotd/decoder"
@@ -158,16 +157,6 @@
 	return ok && holder == organisation
 }
 
-// RouteNames returns the names of the routes in order.
-func (c *Config) RouteNames() []string {
-	names := make([]string, 0, len(c.Routes))
-	for name := range c.Routes {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // A faults value collects every fault, so that an operator mends a table in
 // one go.
 type faults struct {
