--- /dev/null
+++ b/apricotd/internal/connection/linker/linker.go
@@ -0,0 +1,305 @@
+// Package linker carries exchanges between nodes over links, which are TCP
+// connections with many exchanges each.
+//
+// It guarantees that an exchange whose context ends is cancelled at the peer,
+// that an UnsentError means that the peer never got the request, and that no
+// peer can block another: each link has its own queues and goroutines. A link
+// that stays silent although it is asked is closed, so that what waits on it
+// can be decided.
+//
+// # Usage
+//
+//	l := &linker.Linker{Port: 7000, Serve: serve, Beat: beat, Receive: receive, Log: log}
+//	go l.Run(ctx, listener)
+//	result, err := l.Exchange(ctx, peer, run)
+//	l.Announce()
+//
+// A link costs two goroutines at each end and its buffers. An idle link sends
+// nothing; the operating system's keep-alive probes find a peer that has gone.
+package linker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/wire/linkwire"
+)
+
+const (
+	// connectTimeout bounds one attempt to reach a peer.
+	connectTimeout = 2 * time.Second
+	// connectPatience is how long an exchange waits for its link to open.
+	connectPatience = 400 * time.Millisecond
+	// connectBackoff is the pause after a failed attempt.
+	connectBackoff = 200 * time.Millisecond
+	// checkInterval is how often links with waiting exchanges are checked.
+	checkInterval = 100 * time.Millisecond
+	// silenceAsk is the silence after which a peer is asked for a beat.
+	silenceAsk = 300 * time.Millisecond
+	// silenceLost is the silence after which a link is given up. Three losses
+	// of one packet in a row fit into it.
+	silenceLost = 1500 * time.Millisecond
+	// probeIdle, probeInterval and probeCount find dead peers on idle links.
+	probeIdle     = 2 * time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+	// userTimeout bounds how long sent bytes may lack an acknowledgement.
+	userTimeout = 3 * time.Second
+)
+
+type (
+	// An UnsentError reports a peer that certainly did not get a request.
+	UnsentError struct{ Err error }
+
+	// A Linker holds the links of one node. Its exported fields must be set
+	// before Run.
+	Linker struct {
+		// Port is where every node listens for links.
+		Port uint16
+		// Serve runs a peer's request; the context ends when the peer cancels
+		// it or its link ends.
+		Serve func(ctx context.Context, run *linkwire.Run) *linkwire.Result
+		// Beat returns the state that this node announces.
+		Beat func() *linkwire.Beat
+		// Receive takes the frames that belong to no exchange.
+		Receive func(l *Link, frame *linkwire.Frame)
+		// Dial opens connections; nil means TCP.
+		Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+		Log  logrus.FieldLogger
+
+		ctx   context.Context
+		mu    sync.Mutex
+		peers map[netip.Addr]*peer
+		links map[*Link]struct{}
+	}
+
+	// A peer is a node to which this node opens links.
+	peer struct {
+		linker  *Linker
+		address netip.Addr
+
+		mu       sync.Mutex
+		link     *Link
+		opening  chan struct{} // closed when the attempt under way has ended
+		err      error         // of the last attempt
+		failedAt time.Time
+	}
+)
+
+// Error returns the cause.
+func (e *UnsentError) Error() string { return "request not sent to peer: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Err }
+
+// Start prepares the linker; links end with the context.
+func (l *Linker) Start(ctx context.Context) {
+	l.ctx = ctx
+	l.peers = make(map[netip.Addr]*peer)
+	l.links = make(map[*Link]struct{})
+	if l.Dial == nil {
+		l.Dial = dialTCP
+	}
+	go l.check()
+}
+
+// Run accepts links until the context ends or the listener fails.
+func (l *Linker) Run(ctx context.Context, listener net.Listener) error {
+	defer context.AfterFunc(ctx, func() { _ = listener.Close() })()
+	for {
+		nc, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return fmt.Errorf("accept link: %w", err)
+			}
+			l.Log.WithError(err).Warn("link not accepted")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		tune(nc)
+		l.start(nc, nil)
+	}
+}
+
+// Exchange has a peer run a request. The error is an *UnsentError if the peer
+// certainly did not get it.
+func (l *Linker) Exchange(ctx context.Context, address netip.Addr, run *linkwire.Run) (*linkwire.Result, error) {
+	link, err := l.peer(address).open(ctx)
+	if err != nil {
+		return nil, &UnsentError{Err: err}
+	}
+	return link.exchange(ctx, run)
+}
+
+// Silence returns for how long a peer has left an exchange without any sign of
+// life; zero if nothing waits for it.
+func (l *Linker) Silence(address netip.Addr) time.Duration {
+	l.mu.Lock()
+	p := l.peers[address]
+	l.mu.Unlock()
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	link := p.link
+	p.mu.Unlock()
+	if link == nil {
+		return 0
+	}
+	return link.silence(time.Now())
+}
+
+// Connect opens a link to a peer in the background, if there is none.
+func (l *Linker) Connect(address netip.Addr) {
+	p := l.peer(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil && p.opening == nil {
+		p.opening = make(chan struct{})
+		go p.connect(p.opening)
+	}
+}
+
+// Announce sends this node's state over all links.
+func (l *Linker) Announce() {
+	l.Broadcast(func() *linkwire.Frame {
+		return &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: l.Beat()}}
+	}, nil)
+}
+
+// Broadcast sends a frame to each peer that has a link and for which accept,
+// unless nil, returns true.
+func (l *Linker) Broadcast(frame func() *linkwire.Frame, accept func(netip.Addr) bool) {
+	for _, link := range l.onePerPeer() {
+		if accept == nil || accept(link.Peer) {
+			link.Send(frame())
+		}
+	}
+}
+
+// Peers returns the number of peers with a link.
+func (l *Linker) Peers() int {
+	return len(l.onePerPeer())
+}
+
+func (l *Linker) onePerPeer() map[netip.Addr]*Link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[netip.Addr]*Link, len(l.links))
+	for link := range l.links {
+		out[link.Peer] = link
+	}
+	return out
+}
+
+func (l *Linker) peer(address netip.Addr) *peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[address]
+	if p == nil {
+		p = &peer{linker: l, address: address}
+		l.peers[address] = p
+	}
+	return p
+}
+
+// open returns the peer's link and waits a little for one that is opening.
+func (p *peer) open(ctx context.Context) (*Link, error) {
+	p.mu.Lock()
+	if p.link != nil {
+		defer p.mu.Unlock()
+		return p.link, nil
+	}
+	if p.opening == nil {
+		if time.Since(p.failedAt) < connectBackoff {
+			defer p.mu.Unlock()
+			return nil, p.err
+		}
+		p.opening = make(chan struct{})
+		go p.connect(p.opening)
+	}
+	opening := p.opening
+	p.mu.Unlock()
+	timer := time.NewTimer(connectPatience)
+	defer timer.Stop()
+	select {
+	case <-opening:
+	case <-timer.C:
+		return nil, errors.New("link is not open yet")
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for link: %w", ctx.Err())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil {
+		return nil, p.err
+	}
+	return p.link, nil
+}
+
+func (p *peer) connect(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(p.linker.ctx, connectTimeout)
+	defer cancel()
+	nc, err := p.linker.Dial(ctx, netip.AddrPortFrom(p.address, p.linker.Port))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(done)
+	p.opening = nil
+	if err != nil {
+		p.err = fmt.Errorf("open link: %w", err)
+		p.failedAt = time.Now()
+		return
+	}
+	p.link = p.linker.start(nc, p)
+}
+
+func (p *peer) forget(link *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == link {
+		p.link = nil
+		p.err = errors.New("link was lost")
+	}
+}
+
+// check asks silent peers for a beat and gives up those that stay silent.
+func (l *Linker) check() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.mu.Lock()
+			links := make([]*Link, 0, len(l.links))
+			for link := range l.links {
+				links = append(links, link)
+			}
+			l.mu.Unlock()
+			for _, link := range links {
+				link.check(now)
+			}
+		}
+	}
+}
+
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("dial %v: %w", address, err)
+	}
+	tune(nc)
+	return nc, nil
+}
--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -67,6 +67,8 @@
 		Organisation string
 		Weight       float64 // the organisation's rate; 0 counts as 1
 		Deadline     time.Time
+		// Patience is how long this request may wait; 0 leaves it to the class.
+		Patience time.Duration
 	}
 
 	// An Admitter guards one backend server. Its zero value admits nothing
@@ -198,6 +200,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	left := time.Until(r.Deadline)
+	if r.Patience > 0 {
+		return min(r.Patience, left)
+	}
 	if r.Class == checker.ClassCritical {
 		return left - time.Duration(a.serviceTime*float64(time.Second))
 	}
--- /dev/null
+++ b/apricotd/internal/process/budgeter/budgeter.go
@@ -0,0 +1,132 @@
+// Package budgeter bounds how often this node sends requests again, so that
+// the whole fleet stays within one budget for each pool.
+//
+// Each node spends at most its own part: the agreed ratio of the requests that
+// it took from callers, and an equal share of the fixed allowance. The parts
+// of all nodes add up to the fleet's budget without any exchange.
+//
+// # Usage
+//
+//	b := &budgeter.Budgeter{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50, Nodes: nodes}
+//	b.Count(pool)             // a caller's request
+//	if b.Spend(pool) { ... }  // one request may be sent again
+package budgeter
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// slots divides the window; counts age by one slot at a time.
+	slots = 10
+	// safety is the part of the budget that is used. The rest covers the
+	// calls that a repeated request makes again, which count as repeats too.
+	safety = 0.6
+)
+
+// epoch makes slots follow the steady clock, whatever the time of day does.
+var epoch = time.Now()
+
+type (
+	// A Budgeter counts requests and repeats. Its exported fields must be set
+	// before use.
+	Budgeter struct {
+		Window    time.Duration
+		Ratio     float64 // repeats for each request of a caller
+		Allowance float64 // repeats in each window besides, over all nodes
+		// Nodes returns the number of nodes in the fleet.
+		Nodes func() int
+
+		mu    sync.Mutex
+		pools map[string]*pool
+	}
+
+	pool struct {
+		requests counter
+		repeats  counter
+	}
+
+	// A counter counts events of the last window.
+	counter struct {
+		counts [slots]int
+		last   int64 // number of the newest slot
+	}
+)
+
+// Count records a caller's request for a pool.
+func (b *Budgeter) Count(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pool(name).requests.add(b.slot())
+}
+
+// Spend records a repeat if the budget has room for it.
+func (b *Budgeter) Spend(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot := b.slot()
+	p := b.pool(name)
+	if float64(p.repeats.sum(slot)+1) > b.limit(p, slot) {
+		return false
+	}
+	p.repeats.add(slot)
+	return true
+}
+
+// Left returns the repeats that a pool's budget still has room for.
+func (b *Budgeter) Left(name string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot := b.slot()
+	p := b.pool(name)
+	return b.limit(p, slot) - float64(p.repeats.sum(slot))
+}
+
+func (b *Budgeter) limit(p *pool, slot int64) float64 {
+	share := b.Allowance / float64(max(b.Nodes(), 1))
+	return safety * (share + b.Ratio*float64(p.requests.sum(slot)))
+}
+
+func (b *Budgeter) pool(name string) *pool {
+	if b.pools == nil {
+		b.pools = make(map[string]*pool)
+	}
+	p := b.pools[name]
+	if p == nil {
+		p = &pool{}
+		b.pools[name] = p
+	}
+	return p
+}
+
+func (b *Budgeter) slot() int64 {
+	return int64(time.Since(epoch)/(b.Window/slots)) + slots
+}
+
+func (c *counter) add(slot int64) {
+	c.advance(slot)
+	c.counts[slot%slots]++
+}
+
+func (c *counter) sum(slot int64) int {
+	c.advance(slot)
+	n := 0
+	for _, count := range c.counts {
+		n += count
+	}
+	return n
+}
+
+// advance clears the slots that have passed.
+func (c *counter) advance(slot int64) {
+	if slot-c.last >= slots {
+		c.counts = [slots]int{}
+		c.last = slot
+		return
+	}
+	for c.last < slot {
+		c.last++
+		c.counts[c.last%slots] = 0
+	}
+}
--- /dev/null
+++ b/apricotd/internal/request/director/attempts.go
@@ -0,0 +1,167 @@
+package director
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"apricotrudder.dev/apricotd/internal/connection/linker"
+	"apricotrudder.dev/apricotd/internal/process/chooser"
+	"apricotrudder.dev/apricotd/internal/request/performer"
+	"apricotrudder.dev/wire/linkwire"
+)
+
+// run asks servers until one ends the request.
+func (d *Director) run(ctx context.Context, rq *request) outcome {
+	tried := make(map[string]bool)
+	var last outcome = refused{reason: reasonNoServer, detail: rq.pool, retryAfter: noServerWait}
+	for rq.tries < maxTries {
+		if !time.Now().Before(rq.deadline) {
+			return last
+		}
+		choice, ok := d.Chooser.Choose(d.List().Pool(rq.pool), tried)
+		if !ok {
+			return last
+		}
+		tried[choice.Server.ID] = true
+		last = d.attempt(ctx, rq, choice)
+		if ctx.Err() != nil || !d.mayRepeat(rq, last) {
+			return last
+		}
+	}
+	return last
+}
+
+// mayRepeat tells whether another server may be asked. A request that has
+// reached no server yet costs nothing but time.
+func (d *Director) mayRepeat(rq *request, o outcome) bool {
+	switch o := o.(type) {
+	case refused:
+		if !o.mayHelp {
+			return false
+		}
+	case unknown:
+		if !rq.route.Idempotent || o.reason == performer.Expired {
+			return false
+		}
+	default:
+		return false
+	}
+	if rq.arrivals == 0 {
+		return true
+	}
+	return rq.arrivals < rq.route.MaxAttempts && d.Budget.Spend(rq.pool)
+}
+
+func (d *Director) attempt(ctx context.Context, rq *request, c *chooser.Choice) outcome {
+	rq.tries++
+	ctx, cancel := context.WithDeadline(ctx, rq.deadline.Add(verdictGrace))
+	defer cancel()
+	var result *linkwire.Result
+	var err error
+	if address := c.Server.Address.Addr(); address == d.Self {
+		result = d.Local.Run(ctx, d.message(rq))
+	} else {
+		result, err = d.Linker.Exchange(ctx, address, d.message(rq))
+	}
+	if err != nil {
+		return d.peerFailed(ctx, rq, c, err)
+	}
+	o, report := d.read(rq, result)
+	c.Done(report)
+	return o
+}
+
+func (d *Director) message(rq *request) *linkwire.Run {
+	left := time.Until(rq.deadline)
+	run := &linkwire.Run{
+		Pool:        rq.pool,
+		RequestId:   rq.id,
+		Method:      rq.Method,
+		Target:      rq.Target,
+		Host:        rq.Host,
+		Fields:      rq.fields,
+		Body:        rq.Body,
+		RemainingMs: uint32(max(1, left.Milliseconds())),
+		Rank:        uint32(max(0, rq.rank)),
+		Idempotent:  rq.route.Idempotent,
+		Call:        rq.isCall,
+		PatienceMs:  uint32(rq.patience(left).Milliseconds()),
+		Repeated:    rq.arrivals > 0,
+	}
+	if o := rq.organisation; o != nil {
+		run.Organisation, run.Weight = o.Name, o.Rate
+	}
+	return run
+}
+
+func (rq *request) patience(left time.Duration) time.Duration {
+	if rq.isCall {
+		return max(minPatience, left/callPatienceShare)
+	}
+	return max(minPatience, rq.route.Target/patienceShare)
+}
+
+// peerFailed tells what is known after the exchange with a node broke off.
+func (d *Director) peerFailed(ctx context.Context, rq *request, c *chooser.Choice, err error) outcome {
+	var unsent *linker.UnsentError
+	switch {
+	case errors.As(err, &unsent) && ctx.Err() == nil:
+		c.Done(chooser.Report{Result: chooser.Unreached})
+		return refused{reason: performer.Unreachable, detail: err.Error(), retryAfter: noServerWait, mayHelp: true}
+	case errors.As(err, &unsent):
+		c.Done(chooser.Report{Result: chooser.Ended})
+		return refused{reason: performer.Expired, detail: err.Error()}
+	case ctx.Err() != nil:
+		c.Done(chooser.Report{Result: chooser.Ended})
+		rq.arrivals++
+		return unknown{reason: performer.Expired, detail: err.Error()}
+	}
+	c.Done(chooser.Report{Result: chooser.Failed})
+	rq.arrivals++
+	return unknown{reason: performer.Lost, detail: err.Error()}
+}
+
+// read turns a node's result into an outcome, and into what the chooser is to
+// remember.
+func (d *Director) read(rq *request, result *linkwire.Result) (outcome, chooser.Report) {
+	load := result.GetLoad()
+	report := chooser.Report{Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots())}
+	if answer := result.GetAnswer(); answer != nil {
+		rq.arrivals++
+		report.Result = chooser.Served
+		return answered{answer}, report
+	}
+	r := result.GetRefusal()
+	if r.GetArrived() {
+		rq.arrivals++
+	}
+	report.Result = resultOf(r)
+	if !r.GetNotRun() {
+		return unknown{reason: r.GetReason(), detail: r.GetDetail()}, report
+	}
+	return refused{
+		reason:     r.GetReason(),
+		detail:     fmt.Sprintf("%s by %s", r.GetDetail(), rq.pool),
+		retryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		mayHelp:    r.GetReason() != performer.Cancelled && r.GetReason() != performer.Expired,
+	}, report
+}
+
+func resultOf(r *linkwire.Refusal) chooser.Result {
+	switch r.GetReason() {
+	case performer.Overloaded:
+		return chooser.Full
+	case performer.Shed:
+		return chooser.Shed
+	case performer.Lost:
+		return chooser.Failed
+	case performer.Unreachable, performer.WrongPool:
+		return chooser.Unreached
+	case performer.Parting:
+		return chooser.Leaving
+	}
+	return chooser.Ended
+}
--- /dev/null
+++ b/apricotd/internal/request/director/director.go
@@ -0,0 +1,183 @@
+// Package director takes requests from callers and from the node's own backend
+// server to a backend server of the pool that their route names.
+//
+// It guarantees that a request without effect limits is sent again only within
+// its route's attempts and the fleet's budget, that a non-idempotent request
+// is sent again only after a stated "not run", that a key never leaves this
+// node, and that every request gets its final answer as soon as it is given
+// up. Statuses that promise "not run" are used only where that is certain.
+//
+// # Usage
+//
+//	d := &director.Director{...}
+//	response := d.Serve(ctx, request)
+package director
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/internal/connection/acceptor"
+	"apricotrudder.dev/apricotd/internal/connection/linker"
+	"apricotrudder.dev/apricotd/internal/process/budgeter"
+	"apricotrudder.dev/apricotd/internal/process/chooser"
+	"apricotrudder.dev/apricotd/internal/process/rationer"
+	"apricotrudder.dev/apricotd/internal/request/performer"
+	"apricotrudder.dev/apricotd/namer"
+	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/apricotd/version/resolver"
+	"apricotrudder.dev/wire/linkwire"
+)
+
+const (
+	// callerMargin is taken from the time that a caller states, so that it
+	// gets an answer before it leaves.
+	callerMargin = 50 * time.Millisecond
+	// defaultDeadline is for requests that state no time.
+	defaultDeadline = 10 * time.Second
+	// verdictGrace is how long after the deadline the word of the other node
+	// is awaited on whether the request has run.
+	verdictGrace = 80 * time.Millisecond
+	// patienceShare of the target is how long a caller's request may wait for
+	// a slot before it is better refused.
+	patienceShare = 8
+	minPatience   = 30 * time.Millisecond
+	// callPatienceShare of the time left is the same for a call of a backend
+	// server, for which work has already been done.
+	callPatienceShare = 2
+	// maxTries bounds the servers that are asked, also those that do not get
+	// the request.
+	maxTries = 6
+	// startWait is what callers are asked to wait while this node starts.
+	startWait = 500 * time.Millisecond
+	// noServerWait is the same while a pool has no usable server.
+	noServerWait = 500 * time.Millisecond
+)
+
+type (
+	// A Director serves requests. Its fields must be set before use.
+	Director struct {
+		Names    *namer.Names
+		Self     netip.Addr
+		Caller   func() string // pool of the own backend server
+		Resolver func() *resolver.Resolver
+		List     func() *lister.List
+		Chooser  *chooser.Chooser
+		Budget   *budgeter.Budgeter
+		Rations  *rationer.Rationer
+		Linker   *linker.Linker
+		Local    *performer.Performer
+		Log      logrus.FieldLogger
+		Metrics  *metrics.Set
+
+		weigher weigher
+	}
+
+	// A request is one request on its way through the director.
+	request struct {
+		*acceptor.Request
+		id           string
+		route        *resolver.Route
+		pool         string
+		organisation *resolver.Organisation
+		version      uint64
+		rank         int
+		deadline     time.Time
+		fields       []*linkwire.Field
+		isCall       bool
+		arrivals     int // servers that it has reached, or may have
+		tries        int
+	}
+)
+
+// Serve answers one request. It returns nil if its caller has gone.
+func (d *Director) Serve(ctx context.Context, r *acceptor.Request) *acceptor.Response {
+	rq := &request{Request: r, id: r.Fields.Get(d.Names.RequestID)}
+	o := d.admit(rq)
+	if o == nil {
+		o = d.run(ctx, rq)
+	}
+	d.record(rq, o)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return d.respond(o)
+}
+
+// admit checks everything that needs no other node, the cheap checks first.
+func (d *Director) admit(rq *request) outcome {
+	tables := d.Resolver()
+	if tables == nil {
+		return refused{reason: reasonStarting, retryAfter: startWait}
+	}
+	rq.version = tables.Tables.Version
+	path, _, _ := strings.Cut(rq.Target, "?")
+	route, ok := tables.Route(rq.Host, path)
+	if !ok {
+		return refused{reason: reasonNoRoute}
+	}
+	rq.route, rq.rank = route, route.Rank
+	if o := d.identify(rq, tables); o != nil {
+		return o
+	}
+	rq.deadline = d.deadline(rq)
+	rq.pool = d.weigher.pick(route)
+	d.Budget.Count(rq.pool)
+	if o := rq.organisation; o != nil {
+		if ok, wait := d.Rations.Take(o); !ok {
+			return refused{reason: reasonRate, detail: o.Name, retryAfter: wait}
+		}
+	}
+	rq.fields = d.fields(rq)
+	return nil
+}
+
+func (d *Director) identify(rq *request, tables *resolver.Resolver) outcome {
+	key := rq.Fields.Get(d.Names.Key)
+	if rq.route.Open || !tables.NeedsKeys() {
+		// Only callers have keys; an open route without one is a call of the
+		// own backend server, or of a caller that is treated alike.
+		rq.isCall = rq.route.Open && key == ""
+		return nil
+	}
+	o, ok := tables.Organisation(key)
+	if key == "" || !ok {
+		return refused{reason: reasonKey}
+	}
+	rq.organisation = o
+	if o.HasRank {
+		rq.rank = o.Rank
+	}
+	return nil
+}
+
+// deadline is when the request is given up: a little before its caller leaves,
+// and no later than the route's timeout.
+func (d *Director) deadline(rq *request) time.Time {
+	left := defaultDeadline
+	if ms, err := strconv.ParseInt(rq.Fields.Get(d.Names.Remaining), 10, 64); err == nil && ms >= 0 {
+		stated := time.Duration(ms) * time.Millisecond
+		left = stated - min(callerMargin, stated/10)
+	}
+	if rq.route.Timeout > 0 {
+		left = min(left, rq.route.Timeout)
+	}
+	return rq.Received.Add(left)
+}
+
+// fields returns what is passed on: neither what concerns one connection only,
+// nor what only nodes may set.
+func (d *Director) fields(rq *request) []*linkwire.Field {
+	kept := rq.Fields.EndToEnd(d.Names.IsOwn)
+	out := make([]*linkwire.Field, 0, len(kept)+1)
+	for _, f := range kept {
+		out = append(out, &linkwire.Field{Name: f.Name, Value: f.Value})
+	}
+	return append(out, &linkwire.Field{Name: d.Names.Caller, Value: d.Caller()})
+}
--- /dev/null
+++ b/apricotd/internal/request/director/outcome.go
@@ -0,0 +1,142 @@
+package director
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/internal/connection/acceptor"
+	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/apricotd/internal/request/performer"
+	"apricotrudder.dev/wire/linkwire"
+)
+
+// Reasons for which this node itself refuses a request.
+const (
+	reasonStarting = "starting"
+	reasonNoRoute  = "noRoute"
+	reasonKey      = "keyUnknown"
+	reasonRate     = "rateExceeded"
+	reasonNoServer = "noServer"
+)
+
+const (
+	// defaultWait is stated where nothing better is known.
+	defaultWait = 300 * time.Millisecond
+	// waitSpread is the largest factor by which a stated wait is stretched,
+	// so that refused callers do not return at the same moment.
+	waitSpread = 0.5
+)
+
+type (
+	// An outcome is answered, refused or unknown.
+	outcome interface{ outcome() }
+
+	// answered carries the whole answer of a backend server.
+	answered struct{ *linkwire.Answer }
+
+	// refused means that no server has run the request or will run it.
+	refused struct {
+		reason     string
+		detail     string
+		retryAfter time.Duration
+		mayHelp    bool // another server may accept the request
+	}
+
+	// unknown means that the request may have run.
+	unknown struct {
+		reason string
+		detail string
+	}
+)
+
+func (answered) outcome() {}
+func (refused) outcome()  {}
+func (unknown) outcome()  {}
+
+func (d *Director) respond(o outcome) *acceptor.Response {
+	switch o := o.(type) {
+	case answered:
+		fields := make(parser.Fields, len(o.Fields))
+		for i, f := range o.Fields {
+			fields[i] = parser.Field{Name: f.Name, Value: f.Value}
+		}
+		return &acceptor.Response{Status: int(o.Status), Fields: fields, Body: o.Body}
+	case refused:
+		return refusal(o)
+	case unknown:
+		status := http.StatusBadGateway
+		if o.reason == performer.Expired {
+			status = http.StatusGatewayTimeout
+		}
+		return Refuse(status, o.reason)
+	default:
+		panic(fmt.Sprintf("outcome of type %T", o))
+	}
+}
+
+func refusal(o refused) *acceptor.Response {
+	switch o.reason {
+	case reasonNoRoute:
+		return Refuse(http.StatusNotFound, o.reason)
+	case reasonKey:
+		return Refuse(http.StatusUnauthorized, o.reason)
+	}
+	status := http.StatusServiceUnavailable
+	if o.reason == reasonRate {
+		status = http.StatusTooManyRequests
+	}
+	wait := o.retryAfter
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	response := Refuse(status, o.reason)
+	seconds := wait.Seconds() * (1 + waitSpread*rand.Float64())
+	response.Fields = append(response.Fields, parser.Field{Name: "Retry-After", Value: strconv.FormatFloat(seconds, 'f', 2, 64)})
+	return response
+}
+
+// Refuse returns an answer of the node's own.
+func Refuse(status int, reason string) *acceptor.Response {
+	return &acceptor.Response{
+		Status: status,
+		Fields: parser.Fields{{Name: "Content-Type", Value: "text/plain; charset=utf-8"}},
+		Body:   []byte(reason + "\n"),
+	}
+}
+
+// record counts the outcome and logs it with what decided it.
+func (d *Director) record(rq *request, o outcome) {
+	route, result, detail := "none", "answered", ""
+	if rq.route != nil {
+		route = rq.route.Name
+	}
+	switch o := o.(type) {
+	case refused:
+		result, detail = o.reason, o.detail
+	case unknown:
+		result, detail = o.reason+"Unknown", o.detail
+	}
+	d.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_requests_total{route=%q,outcome=%q}`, route, result)).Inc()
+	d.Metrics.GetOrCreateHistogram(fmt.Sprintf(`apricot_request_seconds{route=%q}`, route)).UpdateDuration(rq.Received)
+	if _, ok := o.(answered); ok && rq.arrivals <= 1 {
+		return
+	}
+	d.Log.WithFields(logrus.Fields{
+		"request":  rq.id,
+		"route":    route,
+		"pool":     rq.pool,
+		"version":  rq.version,
+		"rank":     rq.rank,
+		"call":     rq.isCall,
+		"tries":    rq.tries,
+		"arrivals": rq.arrivals,
+		"tookMs":   time.Since(rq.Received).Milliseconds(),
+		"outcome":  result,
+		"detail":   detail,
+	}).Info("request ended")
+}
--- /dev/null
+++ b/apricotd/mesher/mesher.go
@@ -0,0 +1,264 @@
+// Package mesher joins the parts of a node for fleets whose platform publishes
+// tables and backend servers and where nothing else is shared: no leases, no
+// claims, no certificates.
+//
+// It guarantees the order of start and stop: a node says that it is ready once
+// it holds tables and a list of servers, and a stop begins nothing new for
+// peers, finishes what runs, serves callers until they have had the time to
+// turn elsewhere, and only then closes.
+//
+// # Usage
+//
+//	n := &mesher.Node{Settings: s, Names: names, Store: store, Decoder: decoder, Log: log}
+//	err := n.Run(ctx) // ctx ends with SIGTERM
+//
+// What is known of the platform comes in by Names, Store and Decoder; package
+// mesher and what it uses know none of the platform's words.
+package mesher
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/internal/connection/acceptor"
+	"apricotrudder.dev/apricotd/internal/connection/exchanger"
+	"apricotrudder.dev/apricotd/internal/connection/linker"
+	"apricotrudder.dev/apricotd/internal/process/admitter"
+	"apricotrudder.dev/apricotd/internal/process/budgeter"
+	"apricotrudder.dev/apricotd/internal/process/chooser"
+	"apricotrudder.dev/apricotd/internal/process/identifier"
+	"apricotrudder.dev/apricotd/internal/process/rationer"
+	"apricotrudder.dev/apricotd/internal/request/director"
+	"apricotrudder.dev/apricotd/internal/request/performer"
+	"apricotrudder.dev/apricotd/keeper"
+	"apricotrudder.dev/apricotd/namer"
+	"apricotrudder.dev/apricotd/version/resolver"
+)
+
+const (
+	// defaultSlots bounds a backend server whose slots are not known yet.
+	defaultSlots = 16
+	// memoryShare of the VM's limit is what the Go runtime aims to stay below.
+	memoryShare = 0.7
+	// stopMargin is left of the time to stop, for closing.
+	stopMargin = 700 * time.Millisecond
+	// callersLeave is how long callers may take to notice that this node
+	// stops: two health checks a second apart, and their requests.
+	callersLeave  = 3500 * time.Millisecond
+	drainInterval = 50 * time.Millisecond
+)
+
+// startLimits are in force until the first tables are.
+var startLimits = resolver.Limits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     1 << 20,
+	HeaderTimeout: 5 * time.Second,
+	IdleTimeout:   30 * time.Second,
+}
+
+// A Node is one process beside one backend server. Its exported fields must be
+// set before Run.
+type Node struct {
+	Settings *Settings
+	Names    *namer.Names
+	Store    keeper.Store
+	Decoder  keeper.Decoder
+	Log      logrus.FieldLogger
+
+	metrics    *metrics.Set
+	pool       atomic.Pointer[string]
+	leaving    atomic.Bool
+	acceptor   *acceptor.Acceptor
+	exchanger  *exchanger.Exchanger
+	linker     *linker.Linker
+	keeper     *keeper.Keeper
+	identifier *identifier.Identifier
+	chooser    *chooser.Chooser
+	rationer   *rationer.Rationer
+	performer  *performer.Performer
+	director   *director.Director
+	fetches    fetches
+}
+
+// Run serves until the context ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	if n.Settings == nil || n.Names == nil || n.Store == nil || n.Decoder == nil || n.Log == nil {
+		return errors.New("run node: a field is not set, want Settings, Names, Store, Decoder and Log")
+	}
+	n.build()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed, err := n.open(background)
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { n.keeper.Run(background) })
+	wg.Go(func() { n.probe(background) })
+	wg.Go(func() { n.tellDemand(background) })
+	n.Log.WithField("vm", n.Settings.VM).Info("node started")
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case err = <-failed:
+	}
+	n.acceptor.Close()
+	stop()
+	wg.Wait()
+	n.Log.WithField("vm", n.Settings.VM).Info("node stopped")
+	return err
+}
+
+// SetPool follows changed settings, which may name another service.
+func (n *Node) SetPool(name string) { n.pool.Store(&name) }
+
+func (n *Node) build() {
+	s := n.Settings
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	}
+	n.metrics = metrics.NewSet()
+	n.SetPool(s.Pool)
+	n.keeper = &keeper.Keeper{Store: n.Store, Decoder: n.Decoder, Log: n.Log, OnChange: n.changed}
+	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID}
+	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.ownPool, List: n.keeper.List}
+	n.performer = &performer.Performer{
+		Names:      n.Names,
+		Exchanger:  n.exchanger,
+		Admitter:   &admitter.Admitter{},
+		Identifier: n.identifier,
+		Log:        n.Log,
+	}
+	n.performer.SetSlots(defaultSlots)
+	n.linker = &linker.Linker{
+		Port:    s.Listen.Links.Port(),
+		Serve:   n.performer.Run,
+		Beat:    n.beat,
+		Receive: n.receive,
+		Log:     n.Log,
+	}
+	n.chooser = &chooser.Chooser{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence}
+	n.rationer = &rationer.Rationer{Self: s.VM, Nodes: n.nodes, Overshoot: s.Rates.Overshoot, Slack: s.Rates.Slack}
+	n.buildDirector()
+	n.acceptor = &acceptor.Acceptor{Limits: n.limits, Serve: n.director.Serve, Refuse: director.Refuse, Log: n.Log}
+	n.registerMetrics()
+}
+
+func (n *Node) buildDirector() {
+	s := n.Settings
+	n.director = &director.Director{
+		Names:    n.Names,
+		Self:     s.Listen.Links.Addr(),
+		Caller:   n.ownPool,
+		Resolver: n.keeper.Resolver,
+		List:     n.keeper.List,
+		Chooser:  n.chooser,
+		Budget: &budgeter.Budgeter{
+			Window:    time.Duration(s.Retries.Window),
+			Ratio:     s.Retries.Ratio,
+			Allowance: s.Retries.Allowance,
+			Nodes:     n.nodes,
+		},
+		Rations: n.rationer,
+		Linker:  n.linker,
+		Local:   n.performer,
+		Log:     n.Log,
+		Metrics: n.metrics,
+	}
+}
+
+func (n *Node) ownPool() string { return *n.pool.Load() }
+
+func (n *Node) limits() resolver.Limits {
+	if r := n.keeper.Resolver(); r != nil {
+		return r.Tables.Limits
+	}
+	return startLimits
+}
+
+// nodes returns the size of the fleet as far as it is known.
+func (n *Node) nodes() int {
+	if list := n.keeper.List(); list != nil {
+		return max(1, list.Nodes())
+	}
+	return 1
+}
+
+func (n *Node) isReady() bool {
+	return !n.leaving.Load() && n.keeper.Resolver() != nil && n.keeper.List() != nil
+}
+
+// changed follows new tables or servers.
+func (n *Node) changed() {
+	if s, ok := n.identifier.Listed(); ok && s.Slots > 0 {
+		n.performer.SetSlots(s.Slots)
+	}
+	if list := n.keeper.List(); list != nil {
+		n.chooser.Forget(list)
+		for a := range list.Addresses {
+			if a != n.Settings.Listen.Links.Addr() {
+				n.linker.Connect(a)
+			}
+		}
+	}
+	n.linker.Announce()
+}
+
+// open starts all servers, so that a node either starts whole or fails with
+// the address that is taken. The channel gets the first failure.
+func (n *Node) open(ctx context.Context) (<-chan error, error) {
+	failed := make(chan error, 4)
+	n.linker.Start(ctx)
+	l := n.Settings.Listen
+	for _, s := range []struct {
+		name    string
+		address netip.AddrPort
+		run     func(context.Context, net.Listener) error
+	}{
+		{"callers", l.Callers, n.acceptor.Run},
+		{"links", l.Links, n.linker.Run},
+		{"health checks", l.Health, n.serveHealth},
+		{"operators", l.Operators, n.serveOperators},
+	} {
+		listener, err := net.Listen("tcp", s.address.String())
+		if err != nil {
+			return nil, fmt.Errorf("listen for %s: %w", s.name, err)
+		}
+		go func() {
+			if err := s.run(ctx, listener); err != nil {
+				failed <- fmt.Errorf("serve %s: %w", s.name, err)
+			}
+		}()
+	}
+	return failed, nil
+}
+
+// drain lets callers leave and finishes what runs.
+func (n *Node) drain() {
+	n.Log.WithField("vm", n.Settings.VM).Info("node is stopping")
+	begun := time.Now()
+	n.leaving.Store(true)
+	n.performer.Leave()
+	n.acceptor.Leave()
+	n.linker.Announce()
+	end := begun.Add(time.Duration(n.Settings.Limits.StopWithin) - stopMargin)
+	time.Sleep(min(callersLeave, time.Until(end)))
+	for n.isBusy() && time.Now().Before(end) {
+		time.Sleep(drainInterval)
+	}
+}
+
+func (n *Node) isBusy() bool {
+	load := n.performer.Load()
+	return n.acceptor.Active() > 0 || load.Running+load.Waiting > 0
+}
--- /dev/null
+++ b/apricotd/mesher/operators.go
@@ -0,0 +1,64 @@
+package mesher
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+)
+
+const (
+	// headerTimeout bounds how long operators and health checks may take.
+	headerTimeout = 5 * time.Second
+)
+
+// serveHealth answers the platform's health checks.
+func (n *Node) serveHealth(ctx context.Context, listener net.Listener) error {
+	r := chi.NewRouter()
+	r.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serve(ctx, listener, r)
+}
+
+// serveOperators serves the metrics.
+func (n *Node) serveOperators(ctx context.Context, listener net.Listener) error {
+	r := chi.NewRouter()
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return serve(ctx, listener, r)
+}
+
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+	if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve http: %w", err)
+	}
+	return nil
+}
+
+func (n *Node) registerMetrics() {
+	n.metrics.NewGauge("apricot_requests_in_flight", func() float64 { return float64(n.performer.Load().Running) })
+	n.metrics.NewGauge("apricot_requests_waiting", func() float64 { return float64(n.performer.Load().Waiting) })
+	n.metrics.NewGauge("apricot_concurrency_limit", func() float64 { return float64(n.performer.Load().Slots) })
+	n.metrics.NewGauge("apricot_callers_active", func() float64 { return float64(n.acceptor.Active()) })
+	n.metrics.NewGauge("apricot_peers_linked", func() float64 { return float64(n.linker.Peers()) })
+	n.metrics.NewGauge("apricot_config_version", func() float64 {
+		tables, _ := n.keeper.Versions()
+		return float64(tables)
+	})
+	n.metrics.NewGauge("apricot_servers_revision", func() float64 {
+		_, servers := n.keeper.Versions()
+		return float64(servers)
+	})
+}
--- /dev/null
+++ b/apricotd/mesher/settings.go
@@ -0,0 +1,152 @@
+package mesher
+
+import (
+	stderrors "errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"apricotrudder.dev/apricotd/decoder"
+)
+
+type (
+	// Settings is the content of the settings file.
+	Settings struct {
+		VM         string  `toml:"vm"`
+		Region     string  `toml:"region"`
+		DataCentre string  `toml:"dataCentre"`
+		Pool       string  `toml:"pool"`
+		Listen     Listen  `toml:"listen"`
+		Backend    Backend `toml:"backend"`
+		Store      Store   `toml:"store"`
+		Limits     Limits  `toml:"limits"`
+		Rates      Rates   `toml:"rates"`
+		Retries    Retries `toml:"retries"`
+		Log        Log     `toml:"log"`
+		// DataCentres gives the region of each data centre.
+		DataCentres map[string]string `toml:"dataCentres"`
+	}
+
+	// Listen holds the addresses on which the node serves.
+	Listen struct {
+		// Callers takes requests of callers and of the own backend server.
+		Callers netip.AddrPort `toml:"callers"`
+		// Health answers the platform's health checks of this node.
+		Health netip.AddrPort `toml:"health"`
+		// Links takes the links of other nodes; every node has the same port.
+		Links netip.AddrPort `toml:"links"`
+		// Operators serves metrics.
+		Operators netip.AddrPort `toml:"operators"`
+	}
+
+	// Backend tells where the node's own backend server is.
+	Backend struct {
+		Address netip.AddrPort `toml:"address"`
+	}
+
+	// Store tells where the published state is read.
+	Store struct {
+		Address netip.AddrPort `toml:"address"`
+	}
+
+	// Limits bounds what the process uses and how long it takes to stop.
+	Limits struct {
+		// MemoryMB is the memory after which the VM ends the process.
+		MemoryMB int `toml:"memoryMB"`
+		// StopWithin is the time after which a stopping process is killed.
+		StopWithin decoder.Duration `toml:"stopWithin"`
+	}
+
+	// Rates says how far the fleet may overrun an organisation's rate.
+	Rates struct {
+		// Overshoot is a fraction of what the rate allows.
+		Overshoot float64 `toml:"overshoot"`
+		// Slack is a number of requests besides.
+		Slack float64 `toml:"slack"`
+	}
+
+	// Retries bounds the requests that the fleet sends again to one pool.
+	Retries struct {
+		Window decoder.Duration `toml:"window"`
+		// Ratio is the number of repeats for each request of a caller.
+		Ratio float64 `toml:"ratio"`
+		// Allowance is the number of repeats in each window besides.
+		Allowance float64 `toml:"allowance"`
+	}
+
+	// Log sets the log level: "debug", "info", "warning" or "error".
+	Log struct {
+		Level string `toml:"level"`
+	}
+)
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings that are already read; document names them in errors.
+func Parse(document string, data []byte) (*Settings, error) {
+	s := &Settings{Log: Log{Level: "info"}}
+	if err := decoder.Decode(document, data, s); err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	if err := s.check(document); err != nil {
+		return nil, fmt.Errorf("check settings: %w", err)
+	}
+	return s, nil
+}
+
+func (s *Settings) check(document string) error {
+	var errs []error
+	fault := func(key, got, want string) {
+		errs = append(errs, &decoder.Error{Document: document, Key: key, Got: got, Want: want})
+	}
+	for _, f := range []struct{ key, value string }{
+		{"vm", s.VM}, {"region", s.Region}, {"dataCentre", s.DataCentre}, {"pool", s.Pool},
+	} {
+		if f.value == "" {
+			fault(f.key, "nothing", "a name")
+		}
+	}
+	for _, f := range []struct {
+		key   string
+		value netip.AddrPort
+	}{
+		{"listen.callers", s.Listen.Callers}, {"listen.health", s.Listen.Health},
+		{"listen.links", s.Listen.Links}, {"listen.operators", s.Listen.Operators},
+		{"backend.address", s.Backend.Address}, {"store.address", s.Store.Address},
+	} {
+		if !f.value.IsValid() {
+			fault(f.key, "nothing", `an IP address and port such as "10.0.0.1:7000"`)
+		}
+	}
+	for _, f := range []struct {
+		key   string
+		value float64
+	}{
+		{"rates.overshoot", s.Rates.Overshoot}, {"rates.slack", s.Rates.Slack},
+		{"retries.ratio", s.Retries.Ratio}, {"retries.allowance", s.Retries.Allowance},
+		{"limits.memoryMB", float64(s.Limits.MemoryMB)},
+	} {
+		if f.value < 0 {
+			fault(f.key, fmt.Sprint(f.value), "0 or more")
+		}
+	}
+	for _, f := range []struct {
+		key   string
+		value decoder.Duration
+	}{
+		{"limits.stopWithin", s.Limits.StopWithin}, {"retries.window", s.Retries.Window},
+	} {
+		if f.value <= 0 {
+			fault(f.key, time.Duration(f.value).String(), "a duration above 0s")
+		}
+	}
+	return stderrors.Join(errs...)
+}
