--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -60,7 +60,7 @@
 	pending struct {
 		progress atomic.Int32
 		since    time.Time
-		result   chan *linkwire.Result
+		result   chan *linkwire.Frame
 		failed   chan error
 	}
 
@@ -111,14 +111,15 @@
 	}
 }
 
-func (l *Link) exchange(ctx context.Context, run *linkwire.Run) (*linkwire.Result, error) {
-	p := &pending{since: time.Now(), result: make(chan *linkwire.Result, 1), failed: make(chan error, 1)}
+// exchange sends a frame and waits for the one that answers it.
+func (l *Link) exchange(ctx context.Context, frame *linkwire.Frame) (*linkwire.Frame, error) {
+	p := &pending{since: time.Now(), result: make(chan *linkwire.Frame, 1), failed: make(chan error, 1)}
 	id, ok := l.add(p)
 	if !ok {
 		return nil, &UnsentError{Err: ErrLost}
 	}
 	defer l.forget(id)
-	frame := &linkwire.Frame{Exchange: id, Kind: &linkwire.Frame_Run{Run: run}}
+	frame.Exchange = id
 	if !l.enqueue(outgoing{frame: frame, pending: p}) {
 		return nil, &UnsentError{Err: errors.New("too many frames wait for the peer")}
 	}
@@ -246,14 +247,17 @@
 		if cancel != nil {
 			cancel()
 		}
-	case *linkwire.Frame_Result:
+	case *linkwire.Frame_Result, *linkwire.Frame_Grant:
 		l.mu.Lock()
 		p := l.waiting[frame.Exchange]
 		delete(l.waiting, frame.Exchange)
 		l.mu.Unlock()
 		if p != nil {
-			p.result <- kind.Result
+			p.result <- frame
 		}
+	case *linkwire.Frame_Borrow:
+		grant := l.linker.Lend(kind.Borrow)
+		l.Send(&linkwire.Frame{Exchange: frame.Exchange, Kind: &linkwire.Frame_Grant{Grant: grant}})
 	default:
 		l.linker.Receive(l, frame)
 	}
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -66,6 +66,8 @@
 		// Serve runs a peer's request; the context ends when the peer cancels
 		// it or its link ends.
 		Serve func(ctx context.Context, run *linkwire.Run) *linkwire.Result
+		// Lend answers a peer that asks for tokens; it must not block.
+		Lend func(b *linkwire.Borrow) *linkwire.Grant
 		// Beat returns the state that this node announces.
 		Beat func() *linkwire.Beat
 		// Receive takes the frames that belong to no exchange.
@@ -134,11 +136,35 @@
 // Exchange has a peer run a request. The error is an *UnsentError if the peer
 // certainly did not get it.
 func (l *Linker) Exchange(ctx context.Context, address netip.Addr, run *linkwire.Run) (*linkwire.Result, error) {
+	frame, err := l.exchange(ctx, address, &linkwire.Frame{Kind: &linkwire.Frame_Run{Run: run}})
+	if err != nil {
+		return nil, err
+	}
+	return frame.GetResult(), nil
+}
+
+// Borrow asks a peer for tokens.
+func (l *Linker) Borrow(ctx context.Context, address netip.Addr, b *linkwire.Borrow) (*linkwire.Grant, error) {
+	frame, err := l.exchange(ctx, address, &linkwire.Frame{Kind: &linkwire.Frame_Borrow{Borrow: b}})
+	if err != nil {
+		return nil, err
+	}
+	return frame.GetGrant(), nil
+}
+
+// SendTo sends a frame that belongs to no exchange, if the peer has a link.
+func (l *Linker) SendTo(address netip.Addr, frame *linkwire.Frame) {
+	if link := l.onePerPeer()[address]; link != nil {
+		link.Send(frame)
+	}
+}
+
+func (l *Linker) exchange(ctx context.Context, address netip.Addr, frame *linkwire.Frame) (*linkwire.Frame, error) {
 	link, err := l.peer(address).open(ctx)
 	if err != nil {
 		return nil, &UnsentError{Err: err}
 	}
-	return link.exchange(ctx, run)
+	return link.exchange(ctx, frame)
 }
 
 // Silence returns for how long a peer has left an exchange without any sign of
--- /dev/null
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -0,0 +1,143 @@
+package rationer
+
+import (
+	"math"
+	"time"
+
+	"apricotrudder.dev/wire/linkwire"
+)
+
+const (
+	// demandHalfLife is how fast past demand is forgotten.
+	demandHalfLife = 2 * time.Second
+	// heardFor is how long a region's word counts.
+	heardFor = 4 * time.Second
+	// tolerated is the part of the agreed overrun that is used. The rest
+	// covers what is admitted while regions or keepers differ.
+	tolerated = 0.6
+	// evenPart of each share goes by the number of nodes, not by demand, so
+	// that a region's first requests find some rate.
+	evenPart = 0.1
+	// startFill is the part of its depth with which a bucket begins. A full
+	// one would grant the burst again after each restart.
+	startFill = 0.3
+	// minDepth lets a bucket with a small share pass single requests.
+	minDepth = 1.0
+	// minDemand is the least demand that is worth telling, in requests per
+	// second.
+	minDemand = 0.05
+	// waitHalfLife is how fast the callers that were asked to wait are
+	// forgotten.
+	waitHalfLife = 500 * time.Millisecond
+)
+
+type (
+	bucket struct {
+		tokens  float64
+		filled  time.Time
+		demand  float64 // requests per second, decaying
+		asked   time.Time
+		refused float64 // callers asked to wait, decaying
+		waited  time.Time
+	}
+
+	// A report is what another region asks for.
+	report struct {
+		at      time.Time
+		demands map[string]float64
+	}
+)
+
+func (b *bucket) fill(rate, depth float64, now time.Time) {
+	depth = max(minDepth, depth)
+	if b.filled.IsZero() {
+		b.tokens = depth * startFill
+	} else {
+		b.tokens += rate * now.Sub(b.filled).Seconds()
+	}
+	b.tokens = min(b.tokens, depth)
+	b.filled = now
+}
+
+func (b *bucket) take(wanted uint32) uint32 {
+	n := min(wanted, uint32(max(0, b.tokens)))
+	b.tokens -= float64(n)
+	return n
+}
+
+// wait is when the tokens for those who are refused will have come, counting
+// those that were asked to wait before.
+func (b *bucket) wait(rate float64, n uint32, now time.Time) time.Duration {
+	b.refused = b.refused*halved(now.Sub(b.waited), waitHalfLife) + float64(n)
+	b.waited = now
+	if rate <= 0 {
+		return maxWait
+	}
+	return min(maxWait, time.Duration((b.refused-b.tokens)/rate*float64(time.Second)))
+}
+
+// ask counts requests. A steady rate of requests settles at that rate.
+func (b *bucket) ask(n float64, now time.Time) {
+	b.demand = b.demandAt(now) + n*math.Ln2/demandHalfLife.Seconds()
+	b.asked = now
+}
+
+func (b *bucket) demandAt(now time.Time) float64 {
+	return b.demand * halved(now.Sub(b.asked), demandHalfLife)
+}
+
+func (r *Rationer) bucket(name string) *bucket {
+	if r.buckets == nil {
+		r.buckets = make(map[string]*bucket)
+	}
+	b := r.buckets[name]
+	if b == nil {
+		b = &bucket{}
+		r.buckets[name] = b
+	}
+	return b
+}
+
+// share returns the own region's part of an organisation's rate.
+func (r *Rationer) share(name string, b *bucket, now time.Time) float64 {
+	list := r.List()
+	if list == nil || list.Nodes() == 0 {
+		return 1
+	}
+	own := float64(list.NodesIn(r.Region)) / float64(list.Nodes())
+	known, mine := own, b.demandAt(now)
+	total := mine
+	for region, report := range r.heard {
+		if now.Sub(report.at) > heardFor || region == r.Region {
+			continue
+		}
+		known += float64(list.NodesIn(region)) / float64(list.Nodes())
+		total += report.demands[name]
+	}
+	if total <= 0 || known <= own {
+		return own
+	}
+	return evenPart*own + (1-evenPart)*min(1, known)*mine/total
+}
+
+// Hear takes another region's demand from one of its keepers.
+func (r *Rationer) Hear(u *linkwire.Usage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heard == nil {
+		r.heard = make(map[string]*report)
+	}
+	old := r.heard[u.Region]
+	if old == nil {
+		old = &report{demands: make(map[string]float64)}
+		r.heard[u.Region] = old
+	}
+	old.at = time.Now()
+	for _, d := range u.Demands {
+		old.demands[d.Organisation] = float64(d.Rate)
+	}
+}
+
+func halved(age, halfLife time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / halfLife.Seconds())
+}
--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -1,191 +1,166 @@
-// Package rationer holds organisations to their rates across the fleet without
-// asking anybody for each request.
+// Package rationer holds organisations to their rates across the fleet.
 //
-// Every node admits from a bucket of its own, filled with its share of the
-// organisation's rate. Shares follow demand: nodes tell each other how much is
-// asked of them, and a node's share is its part of the whole demand. Nodes that
-// have not been heard count as if they had an equal part, so a node that is cut
-// off falls back to the equal part that the others leave it, and the shares of
-// all nodes together exceed the rate only while their views differ.
+// In each region one node keeps the bucket of an organisation: the first by
+// rendezvous hash among the nodes that can be reached. The other nodes of the
+// region borrow a token for each request, and requests that arrive together
+// share one exchange. The regions divide the rate by demand, of which their
+// keepers tell each other; a region that is not heard counts by the number of
+// its nodes. So no request waits for another region.
+//
+// A node that reaches no keeper admits from its equal part of the rate, with
+// almost no depth, so that nodes which are cut off cannot overrun the rate
+// together.
 //
 // # Usage
 //
-//	r := &rationer.Rationer{Self: name, Nodes: nodes, Overshoot: 0.25, Slack: 20}
-//	ok, wait := r.Take(organisation)
+//	r := &rationer.Rationer{Self: address, Region: region, List: list, Borrow: borrow, ...}
+//	excess := r.Take(ctx, organisation) // nil: admitted
+//	grant := r.Lend(organisation, wanted)
 //	r.Hear(usage)
-//	send(r.Usage())
+//	for _, n := range r.Notices() { ... } // at intervals
 //
-// It gives up exactness for speed: the rate is overrun for as long as demand
-// moves faster than the exchange. Memory is one bucket for each organisation
-// seen, and one figure for each organisation and node heard.
+// Rates are exceeded, within what is agreed, while demand moves between
+// regions and while nodes differ on who keeps a bucket. Memory is one bucket
+// for each organisation kept and one small record for each seen.
 package rationer
 
 import (
-	"math"
+	"context"
+	"net/netip"
 	"sync"
 	"time"
 
+	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
 	"apricotrudder.dev/wire/linkwire"
 )
 
 const (
-	// demandHalfLife is how fast past demand is forgotten.
-	demandHalfLife = time.Second
-	// heardFor is how long a node's word counts.
-	heardFor = 4 * time.Second
-	// tolerated is the part of the agreed overshoot that is used; the rest
-	// covers shares that overlap while views differ.
-	tolerated = 0.4
-	// startFill is the part of its capacity with which a bucket begins. A full
-	// one would grant the burst again after each restart.
-	startFill = 0.5
-	// minDemand is the demand below which a node does not mention an
-	// organisation, in requests per second.
-	minDemand = 0.05
-	// minCapacity lets a bucket with a small share pass single requests.
-	minCapacity = 1.0
+	// borrowTimeout bounds one exchange with a keeper; it lies in the region.
+	borrowTimeout = 100 * time.Millisecond
+	// avoidFor is how long a keeper that did not answer is passed over.
+	avoidFor = time.Second
 	// maxWait bounds the time that a refused caller is asked to wait.
-	maxWait = 5 * time.Second
+	maxWait = 2 * time.Second
 )
 
 type (
-	// A Rationer holds the buckets of one node. Its exported fields must be
-	// set before use.
+	// A Rationer admits the requests of one node and keeps buckets for its
+	// region. Its exported fields must be set before use.
 	Rationer struct {
-		Self string
-		// Nodes returns the number of nodes in the fleet.
-		Nodes func() int
-		// Overshoot and Slack are what the fleet may admit beyond the rate: a
-		// fraction of it, and requests besides.
+		Self   netip.Addr
+		Region string
+		List   func() *lister.List
+		// Organisation returns an organisation of the tables in force.
+		Organisation func(name string) (*resolver.Organisation, bool)
+		// Borrow asks a keeper for tokens.
+		Borrow func(ctx context.Context, keeper netip.Addr, b *linkwire.Borrow) (*linkwire.Grant, error)
+		// Overshoot and Slack are what the fleet may admit within one Window
+		// beyond what the rate and the burst allow: a fraction of that, and
+		// requests besides.
 		Overshoot float64
 		Slack     float64
-
-		mu      sync.Mutex
-		buckets map[string]*bucket
-		heard   map[string]*report
-	}
-
-	bucket struct {
-		tokens float64
-		filled time.Time
-		demand float64 // requests per second, decaying
-		asked  time.Time
+		Window    time.Duration
+
+		mu        sync.Mutex
+		buckets   map[string]*bucket   // kept for the region
+		fallbacks map[string]*bucket   // of this node alone
+		borrowers map[string]*borrower // by organisation
+		heard     map[string]*report   // by region
+		avoided   map[netip.Addr]time.Time
 	}
 
-	report struct {
-		at      time.Time
-		demands map[string]float64
+	// An Excess says why a request is not admitted.
+	Excess struct {
+		Organisation string
+		Rate         float64 // of the organisation, in requests per second
+		Keeper       string  // who decided
+		// Wait is after what time a request is likely to be admitted.
+		Wait time.Duration
 	}
 )
 
-// Take admits one request of the organisation, or tells after what time one is
-// likely to be admitted.
-func (r *Rationer) Take(o *resolver.Organisation) (ok bool, wait time.Duration) {
+// Take admits one request of the organisation and returns nil, or says why not.
+func (r *Rationer) Take(ctx context.Context, o *resolver.Organisation) *Excess {
 	if o.Rate <= 0 {
-		return true, 0
+		return nil
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	b := r.bucket(o.Name, now)
-	b.ask(now)
-	rate, capacity := r.allowance(o, b, now)
-	b.fill(rate, capacity, now)
-	if b.tokens >= 1 {
-		b.tokens--
-		return true, 0
+	keeper, ok := r.keeper(o.Name)
+	if !ok {
+		return r.takeFallback(o)
 	}
-	return false, min(maxWait, time.Duration((1-b.tokens)/rate*float64(time.Second)))
+	if keeper == r.Self {
+		return r.excess(o, keeper.String(), r.Lend(o.Name, 1))
+	}
+	grant, ok := r.borrower(o.Name).take(ctx, keeper)
+	if !ok {
+		return r.takeFallback(o)
+	}
+	return r.excess(o, keeper.String(), grant)
 }
 
-// Usage returns this node's demand, for its peers.
-func (r *Rationer) Usage() *linkwire.Usage {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	u := &linkwire.Usage{Origin: r.Self}
-	for name, b := range r.buckets {
-		if d := b.demandAt(now); d >= minDemand {
-			u.Demands = append(u.Demands, &linkwire.Demand{Organisation: name, Rate: float32(d)})
-		}
+func (r *Rationer) excess(o *resolver.Organisation, keeper string, g *linkwire.Grant) *Excess {
+	if g.Granted > 0 || g.Unknown {
+		return nil
+	}
+	return &Excess{
+		Organisation: o.Name,
+		Rate:         o.Rate,
+		Keeper:       keeper,
+		Wait:         time.Duration(g.RetryAfterMs) * time.Millisecond,
 	}
-	return u
 }
 
-// Hear takes a peer's demand.
-func (r *Rationer) Hear(u *linkwire.Usage) {
-	demands := make(map[string]float64, len(u.Demands))
-	for _, d := range u.Demands {
-		demands[d.Organisation] = float64(d.Rate)
+// Lend takes tokens out of a bucket that this node keeps.
+func (r *Rationer) Lend(name string, wanted uint32) *linkwire.Grant {
+	o, ok := r.Organisation(name)
+	if !ok {
+		return &linkwire.Grant{Unknown: true}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.heard == nil {
-		r.heard = make(map[string]*report)
+	now := time.Now()
+	b := r.bucket(name)
+	b.ask(float64(wanted), now)
+	share := r.share(name, b, now)
+	rate := o.Rate * share
+	b.fill(rate, r.depth(o)*share, now)
+	granted := b.take(wanted)
+	g := &linkwire.Grant{Granted: granted}
+	if granted < wanted {
+		g.RetryAfterMs = uint32(b.wait(rate, wanted-granted, now).Milliseconds())
 	}
-	r.heard[u.Origin] = &report{at: time.Now(), demands: demands}
+	return g
 }
 
-// allowance returns this node's part of the rate and of the burst.
-func (r *Rationer) allowance(o *resolver.Organisation, b *bucket, now time.Time) (rate, capacity float64) {
-	share := r.share(o.Name, b, now)
-	over := 1 + tolerated*r.Overshoot
-	rate = o.Rate * over * share
-	capacity = (o.Burst*over + tolerated*r.Slack) * share
-	return rate, max(minCapacity, capacity)
+// depth returns what the buckets of all regions hold together when full: the
+// burst, and most of what may be overrun within one window.
+func (r *Rationer) depth(o *resolver.Organisation) float64 {
+	overrun := r.Overshoot*(o.Rate*r.Window.Seconds()+o.Burst) + r.Slack
+	return o.Burst + tolerated*overrun
 }
 
-func (r *Rationer) share(name string, b *bucket, now time.Time) float64 {
-	nodes := float64(max(r.Nodes(), 1))
-	mine := b.demandAt(now)
-	total, heard := mine, 1.0
-	for origin, report := range r.heard {
-		if now.Sub(report.at) > heardFor {
-			delete(r.heard, origin)
-			continue
-		}
-		total += report.demands[name]
-		heard++
+// takeFallback admits from this node's equal part of the rate.
+func (r *Rationer) takeFallback(o *resolver.Organisation) *Excess {
+	nodes := 1
+	if list := r.List(); list != nil {
+		nodes = max(1, list.Nodes())
 	}
-	heard = min(heard, nodes)
-	if total <= 0 {
-		return 1 / nodes
-	}
-	return mine / total * heard / nodes
-}
-
-func (r *Rationer) bucket(name string, now time.Time) *bucket {
-	if r.buckets == nil {
-		r.buckets = make(map[string]*bucket)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fallbacks == nil {
+		r.fallbacks = make(map[string]*bucket)
 	}
-	b := r.buckets[name]
+	b := r.fallbacks[o.Name]
 	if b == nil {
-		b = &bucket{tokens: -1}
-		r.buckets[name] = b
+		b = &bucket{}
+		r.fallbacks[o.Name] = b
 	}
-	return b
-}
-
-func (b *bucket) fill(rate, capacity float64, now time.Time) {
-	if b.filled.IsZero() {
-		b.tokens = capacity * startFill
-	} else {
-		b.tokens += rate * now.Sub(b.filled).Seconds()
-	}
-	b.tokens = min(b.tokens, capacity)
-	b.filled = now
-}
-
-// ask counts one request. A steady rate of requests settles at that rate.
-func (b *bucket) ask(now time.Time) {
-	b.demand = b.demandAt(now) + math.Ln2/demandHalfLife.Seconds()
-	b.asked = now
-}
-
-func (b *bucket) demandAt(now time.Time) float64 {
-	if b.asked.IsZero() {
-		return 0
+	now := time.Now()
+	rate := o.Rate / float64(nodes)
+	b.fill(rate, rate, now)
+	if b.take(1) == 1 {
+		return nil
 	}
-	return b.demand * math.Exp2(-now.Sub(b.asked).Seconds()/demandHalfLife.Seconds())
+	return &Excess{Organisation: o.Name, Rate: o.Rate, Keeper: "none", Wait: b.wait(rate, 1, now)}
 }
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -99,7 +100,7 @@
 // Serve answers one request. It returns nil if its caller has gone.
 func (d *Director) Serve(ctx context.Context, r *acceptor.Request) *acceptor.Response {
 	rq := &request{Request: r, id: r.Fields.Get(d.Names.RequestID)}
-	o := d.admit(rq)
+	o := d.admit(ctx, rq)
 	if o == nil {
 		o = d.run(ctx, rq)
 	}
@@ -111,7 +112,7 @@
 }
 
 // admit checks everything that needs no other node, the cheap checks first.
-func (d *Director) admit(rq *request) outcome {
+func (d *Director) admit(ctx context.Context, rq *request) outcome {
 	tables := d.Resolver()
 	if tables == nil {
 		return refused{reason: reasonStarting, retryAfter: startWait}
@@ -130,8 +131,9 @@
 	rq.pool = d.weigher.pick(route)
 	d.Budget.Count(rq.pool)
 	if o := rq.organisation; o != nil {
-		if ok, wait := d.Rations.Take(o); !ok {
-			return refused{reason: reasonRate, detail: o.Name, retryAfter: wait}
+		if e := d.Rations.Take(ctx, o); e != nil {
+			detail := fmt.Sprintf("organisation %s has used its %.1f requests per second, says %s", e.Organisation, e.Rate, e.Keeper)
+			return refused{reason: reasonRate, detail: detail, retryAfter: e.Wait}
 		}
 	}
 	rq.fields = d.fields(rq)
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -43,6 +43,7 @@
 	"apricotrudder.dev/apricotd/keeper"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/resolver"
+	"apricotrudder.dev/wire/linkwire"
 )
 
 const (
@@ -143,12 +144,22 @@
 	n.linker = &linker.Linker{
 		Port:    s.Listen.Links.Port(),
 		Serve:   n.performer.Run,
+		Lend:    n.lend,
 		Beat:    n.beat,
 		Receive: n.receive,
 		Log:     n.Log,
 	}
 	n.chooser = &chooser.Chooser{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence}
-	n.rationer = &rationer.Rationer{Self: s.VM, Nodes: n.nodes, Overshoot: s.Rates.Overshoot, Slack: s.Rates.Slack}
+	n.rationer = &rationer.Rationer{
+		Self:         s.Listen.Links.Addr(),
+		Region:       s.Region,
+		List:         n.keeper.List,
+		Organisation: n.organisation,
+		Borrow:       n.linker.Borrow,
+		Overshoot:    s.Rates.Overshoot,
+		Slack:        s.Rates.Slack,
+		Window:       time.Duration(s.Rates.Window),
+	}
 	n.buildDirector()
 	n.acceptor = &acceptor.Acceptor{Limits: n.limits, Serve: n.director.Serve, Refuse: director.Refuse, Log: n.Log}
 	n.registerMetrics()
@@ -186,6 +197,18 @@
 	return startLimits
 }
 
+func (n *Node) organisation(name string) (*resolver.Organisation, bool) {
+	r := n.keeper.Resolver()
+	if r == nil {
+		return nil, false
+	}
+	return r.Named(name)
+}
+
+func (n *Node) lend(b *linkwire.Borrow) *linkwire.Grant {
+	return n.rationer.Lend(b.Organisation, b.Wanted)
+}
+
 // nodes returns the size of the fleet as far as it is known.
 func (n *Node) nodes() int {
 	if list := n.keeper.List(); list != nil {
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -64,6 +64,8 @@
 		Overshoot float64 `toml:"overshoot"`
 		// Slack is a number of requests besides.
 		Slack float64 `toml:"slack"`
+		// Window is the time over which both are counted.
+		Window decoder.Duration `toml:"window"`
 	}
 
 	// Retries bounds the requests that the fleet sends again to one pool.
@@ -142,7 +144,7 @@
 		key   string
 		value decoder.Duration
 	}{
-		{"limits.stopWithin", s.Limits.StopWithin}, {"retries.window", s.Retries.Window},
+		{"limits.stopWithin", s.Limits.StopWithin}, {"retries.window", s.Retries.Window}, {"rates.window", s.Rates.Window},
 	} {
 		if f.value <= 0 {
 			fault(f.key, time.Duration(f.value).String(), "a duration above 0s")
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -19,7 +19,7 @@
 	fetchDelay = 300 * time.Millisecond
 	// fetchInterval bounds how often peers are asked.
 	fetchInterval = 500 * time.Millisecond
-	// demandInterval is how often nodes tell each other what is asked of them.
+	// demandInterval is how often regions tell each other what is asked of them.
 	demandInterval = time.Second
 	// probeInterval is how often a server whose id is not known is asked.
 	probeInterval = 500 * time.Millisecond
@@ -104,7 +104,7 @@
 	n.keeper.ApplySnapshot(state, l.Peer.String())
 }
 
-// tellDemand tells peers what organisations ask of this node.
+// tellDemand tells the keepers of other regions what is asked of this one.
 func (n *Node) tellDemand(ctx context.Context) {
 	ticker := time.NewTicker(demandInterval)
 	defer ticker.Stop()
@@ -113,10 +113,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			usage := n.rationer.Usage()
-			n.linker.Broadcast(func() *linkwire.Frame {
-				return &linkwire.Frame{Kind: &linkwire.Frame_Usage{Usage: usage}}
-			}, nil)
+			for _, notice := range n.rationer.Notices() {
+				n.linker.SendTo(notice.Keeper, &linkwire.Frame{Kind: &linkwire.Frame_Usage{Usage: notice.Usage}})
+			}
 		}
 	}
 }
--- a/apricotd/version/lister/lister.go
+++ b/apricotd/version/lister/lister.go
@@ -10,7 +10,9 @@
 package lister
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -44,7 +46,8 @@
 
 		servers map[string]*Server // by id
 		pools   map[string][]*Server
-		nodes   map[netip.Addr]struct{}
+		regions map[netip.Addr]string // of VMs
+		sizes   map[string]int        // VMs in each region
 	}
 )
 
@@ -54,12 +57,16 @@
 		Revision: revision,
 		servers:  make(map[string]*Server, len(servers)),
 		pools:    make(map[string][]*Server),
-		nodes:    make(map[netip.Addr]struct{}, len(servers)),
+		regions:  make(map[netip.Addr]string, len(servers)),
+		sizes:    make(map[string]int),
 	}
 	for _, s := range servers {
 		l.servers[s.ID] = s
 		l.pools[s.Pool] = append(l.pools[s.Pool], s)
-		l.nodes[s.Address.Addr()] = struct{}{}
+		if _, known := l.regions[s.Address.Addr()]; !known {
+			l.regions[s.Address.Addr()] = s.Region
+			l.sizes[s.Region]++
+		}
 	}
 	return l
 }
@@ -77,18 +84,33 @@
 
 // Nodes returns the number of VMs with a listed backend server.
 func (l *List) Nodes() int {
-	return len(l.nodes)
+	return len(l.regions)
+}
+
+// NodesIn returns the number of VMs with a listed backend server in a region.
+func (l *List) NodesIn(region string) int {
+	return l.sizes[region]
+}
+
+// Regions returns the regions that have VMs.
+func (l *List) Regions() []string {
+	return slices.Sorted(maps.Keys(l.sizes))
 }
 
 // Addresses calls yield with the address of each VM that has a listed server.
 func (l *List) Addresses(yield func(netip.Addr) bool) {
-	for a := range l.nodes {
+	for a := range l.regions {
 		if !yield(a) {
 			return
 		}
 	}
 }
 
+// Region returns the region of a VM, empty if it is not listed.
+func (l *List) Region(a netip.Addr) string {
+	return l.regions[a]
+}
+
 // At returns the server that listens on an address. If the list names several,
 // it returns one that is ready.
 func (l *List) At(address netip.AddrPort) (*Server, bool) {
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -91,6 +91,7 @@
 
 		routes map[string]map[string]*Route // by host and prefix
 		keys   map[string]*Organisation
+		names  map[string]*Organisation
 	}
 )
 
@@ -100,6 +101,7 @@
 		Tables: t,
 		routes: make(map[string]map[string]*Route),
 		keys:   make(map[string]*Organisation),
+		names:  make(map[string]*Organisation),
 	}
 	for _, route := range t.Routes {
 		if r.routes[route.Host] == nil {
@@ -108,6 +110,7 @@
 		r.routes[route.Host][route.Prefix] = route
 	}
 	for _, o := range t.Organisations {
+		r.names[o.Name] = o
 		for _, key := range o.Keys {
 			r.keys[key] = o
 		}
@@ -141,6 +144,12 @@
 	return o, ok
 }
 
+// Named returns the organisation with a name.
+func (r *Resolver) Named(name string) (*Organisation, bool) {
+	o, ok := r.names[name]
+	return o, ok
+}
+
 // NeedsKeys tells whether routes that are not open need a key.
 func (r *Resolver) NeedsKeys() bool {
 	return len(r.Tables.Organisations) > 0
