--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -41,7 +41,6 @@
 		Peer netip.Addr
 
 		linker *Linker
-		opener *peer // nil if the peer opened the link
 		nc     net.Conn
 		queue  chan outgoing
 		done   chan struct{}
@@ -73,10 +72,12 @@
 // ErrLost reports a link that ended while an exchange waited on it.
 var ErrLost = errors.New("link to peer was lost")
 
-func (l *Linker) start(nc net.Conn, opener *peer) *Link {
+// errSilent reports a peer that gave no sign of life.
+var errSilent = errors.New("peer gives no sign of life")
+
+func (l *Linker) start(nc net.Conn) *Link {
 	link := &Link{
 		linker:  l,
-		opener:  opener,
 		nc:      nc,
 		queue:   make(chan outgoing, queueDepth),
 		done:    make(chan struct{}),
@@ -162,7 +163,6 @@
 }
 
 func (l *Link) write() {
-	defer l.close(ErrLost)
 	bw := bufio.NewWriterSize(l.nc, bufferBytes)
 	var buffer []byte
 	for {
@@ -172,13 +172,11 @@
 		case o := <-l.queue:
 			_ = l.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			var err error
-			if buffer, err = l.writeFrame(bw, buffer, o); err != nil {
-				return
+			if buffer, err = l.writeFrame(bw, buffer, o); err == nil && len(l.queue) == 0 {
+				err = bw.Flush()
 			}
-			if len(l.queue) > 0 {
-				continue
-			}
-			if err := bw.Flush(); err != nil {
+			if err != nil {
+				l.close(err)
 				return
 			}
 		}
@@ -204,11 +202,11 @@
 }
 
 func (l *Link) read() {
-	defer l.close(ErrLost)
 	br := bufio.NewReaderSize(l.nc, bufferBytes)
 	for {
 		frame, err := readFrame(br)
 		if err != nil {
+			l.close(err)
 			return
 		}
 		l.heard.Store(int64(time.Since(l.start)))
@@ -331,7 +329,7 @@
 		if tcp, ok := l.nc.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
-		l.close(fmt.Errorf("no sign of life for %v: %w", silence.Round(time.Millisecond), ErrLost))
+		l.close(fmt.Errorf("wait %v for an answer: %w", silence.Round(time.Millisecond), errSilent))
 	case ask:
 		beat := l.linker.Beat()
 		beat.Reply = true
@@ -351,14 +349,12 @@
 	l.mu.Unlock()
 	close(l.done)
 	_ = l.nc.Close()
-	if l.opener != nil {
-		l.opener.forget(l)
-	}
+	l.linker.peer(l.Peer).forget(l, err)
 	l.linker.mu.Lock()
 	delete(l.linker.links, l)
 	l.linker.mu.Unlock()
 	for _, p := range waiting {
-		p.failed <- err
+		p.failed <- fmt.Errorf("%w: %w", ErrLost, err)
 	}
 	for _, cancel := range running {
 		cancel()
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -28,6 +28,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"apricotrudder.dev/wire/linkwire"
 )
@@ -92,6 +93,7 @@
 		opening  chan struct{} // closed when the attempt under way has ended
 		err      error         // of the last attempt
 		failedAt time.Time
+		silent   bool // the last link or attempt ended without any answer
 	}
 )
 
@@ -129,7 +131,7 @@
 			continue
 		}
 		tune(nc)
-		l.start(nc, nil)
+		l.start(nc)
 	}
 }
 
@@ -185,6 +187,23 @@
 	return link.silence(time.Now())
 }
 
+// State tells whether a peer has a link, and else whether it has left the last
+// attempt to reach it without any answer, as a node does that is cut off.
+func (l *Linker) State(address netip.Addr) (linked, silent bool) {
+	p := l.peer(address)
+	p.mu.Lock()
+	silent = p.silent
+	p.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for link := range l.links {
+		if link.Peer == address {
+			return true, false
+		}
+	}
+	return false, silent
+}
+
 // Connect opens a link to a peer in the background, if there is none.
 func (l *Linker) Connect(address netip.Addr) {
 	p := l.peer(address)
@@ -284,20 +303,29 @@
 	if err != nil {
 		p.err = fmt.Errorf("open link: %w", err)
 		p.failedAt = time.Now()
+		p.silent = isSilence(err)
 		return
 	}
-	p.link = p.linker.start(nc, p)
+	p.silent = false
+	p.link = p.linker.start(nc)
 }
 
-func (p *peer) forget(link *Link) {
+// forget drops a link that ended with err, whoever opened it.
+func (p *peer) forget(link *Link, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.silent = isSilence(err)
 	if p.link == link {
 		p.link = nil
 		p.err = errors.New("link was lost")
 	}
 }
 
+func isSilence(err error) bool {
+	var ne net.Error
+	return errors.Is(err, errSilent) || errors.As(err, &ne) && ne.Timeout() || errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH)
+}
+
 // check asks silent peers for a beat and gives up those that stay silent.
 func (l *Linker) check() {
 	ticker := time.NewTicker(checkInterval)
--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -14,7 +14,7 @@
 	heardFor = 4 * time.Second
 	// tolerated is the part of the agreed overrun that is used. The rest
 	// covers what is admitted while regions or keepers differ.
-	tolerated = 0.6
+	tolerated = 0.45
 	// evenPart of each share goes by the number of nodes, not by demand, so
 	// that a region's first requests find some rate.
 	evenPart = 0.1
--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -14,9 +14,44 @@
 	Usage  *linkwire.Usage
 }
 
-// keeper returns who keeps an organisation's bucket in the own region.
+// keeper returns who keeps an organisation's bucket in the own region. A node
+// that reaches less than half of its region keeps none.
 func (r *Rationer) keeper(organisation string) (netip.Addr, bool) {
-	return r.keeperIn(r.Region, organisation)
+	a, ok := r.keeperIn(r.Region, organisation)
+	if !ok || a != r.Self {
+		return a, ok
+	}
+	linked, _, others := r.count()
+	return a, 2*linked >= others
+}
+
+// answering returns the part of the region's nodes that this node need not
+// take for cut off. The others admit their own equal parts.
+func (r *Rationer) answering() float64 {
+	_, silent, others := r.count()
+	return 1 - float64(silent)/float64(others+1)
+}
+
+// count counts the other nodes of the region.
+func (r *Rationer) count() (linked, silent, others int) {
+	list := r.List()
+	if list == nil {
+		return 0, 0, 0
+	}
+	for a := range list.Addresses {
+		if a == r.Self || list.Region(a) != r.Region {
+			continue
+		}
+		others++
+		isLinked, isSilent := r.State(a)
+		if isLinked {
+			linked++
+		}
+		if isSilent {
+			silent++
+		}
+	}
+	return linked, silent, others
 }
 
 // keeperIn returns the node of a region with the highest hash among those that
--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -40,6 +40,10 @@
 	borrowTimeout = 100 * time.Millisecond
 	// avoidFor is how long a keeper that did not answer is passed over.
 	avoidFor = time.Second
+	// fallbackPart of its equal part is what a node admits that reaches no
+	// keeper, since the keepers take seconds to notice that it is cut off and
+	// grant its part to others until then.
+	fallbackPart = 0.5
 	// maxWait bounds the time that a refused caller is asked to wait.
 	maxWait = 2 * time.Second
 )
@@ -55,6 +59,9 @@
 		Organisation func(name string) (*resolver.Organisation, bool)
 		// Borrow asks a keeper for tokens.
 		Borrow func(ctx context.Context, keeper netip.Addr, b *linkwire.Borrow) (*linkwire.Grant, error)
+		// State tells whether a node has a link, and else whether it gives no
+		// answer at all.
+		State func(netip.Addr) (linked, silent bool)
 		// Overshoot and Slack are what the fleet may admit within one Window
 		// beyond what the rate and the burst allow: a fraction of that, and
 		// requests besides.
@@ -122,7 +129,7 @@
 	now := time.Now()
 	b := r.bucket(name)
 	b.ask(float64(wanted), now)
-	share := r.share(name, b, now)
+	share := r.share(name, b, now) * r.answering()
 	rate := o.Rate * share
 	b.fill(rate, r.depth(o)*share, now)
 	granted := b.take(wanted)
@@ -157,7 +164,7 @@
 		r.fallbacks[o.Name] = b
 	}
 	now := time.Now()
-	rate := o.Rate / float64(nodes)
+	rate := fallbackPart * o.Rate / float64(nodes)
 	b.fill(rate, rate, now)
 	if b.take(1) == 1 {
 		return nil
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -156,6 +156,7 @@
 		List:         n.keeper.List,
 		Organisation: n.organisation,
 		Borrow:       n.linker.Borrow,
+		State:        n.linker.State,
 		Overshoot:    s.Rates.Overshoot,
 		Slack:        s.Rates.Slack,
 		Window:       time.Duration(s.Rates.Window),
