--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -337,6 +337,12 @@
 	}
 }
 
+func (l *Link) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
 func (l *Link) close(err error) {
 	l.mu.Lock()
 	if l.closed {
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -296,6 +296,10 @@
 	ctx, cancel := context.WithTimeout(p.linker.ctx, connectTimeout)
 	defer cancel()
 	nc, err := p.linker.Dial(ctx, netip.AddrPortFrom(p.address, p.linker.Port))
+	var link *Link
+	if err == nil {
+		link = p.linker.start(nc)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer close(done)
@@ -307,7 +311,9 @@
 		return
 	}
 	p.silent = false
-	p.link = p.linker.start(nc)
+	if !link.isClosed() {
+		p.link = link
+	}
 }
 
 // forget drops a link that ended with err, whoever opened it.
--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -67,6 +67,8 @@
 		Organisation string
 		Weight       float64 // the organisation's rate; 0 counts as 1
 		Deadline     time.Time
+		// Preference orders requests of one class; 0 goes first.
+		Preference uint32
 		// Patience is how long this request may wait; 0 leaves it to the class.
 		Patience time.Duration
 	}
--- a/apricotd/internal/process/admitter/queue.go
+++ b/apricotd/internal/process/admitter/queue.go
@@ -69,7 +69,7 @@
 	return worst
 }
 
-// isBefore orders waiters: class, then the organisation with the least
+// isBefore orders waiters: class, preference, then the organisation with the least
 // service, then arrival. Once the queue has been standing for longer than a
 // waiter may wait, the newest goes first, because the oldest are about to time
 // out anyway.
@@ -77,6 +77,9 @@
 	if x.Class != y.Class {
 		return x.Class > y.Class
 	}
+	if x.Preference != y.Preference {
+		return x.Preference < y.Preference
+	}
 	fx, fy := a.finish(x.Request), a.finish(y.Request)
 	if fx != fy {
 		return fx < fy
--- a/apricotd/internal/process/identifier/identifier.go
+++ b/apricotd/internal/process/identifier/identifier.go
@@ -30,6 +30,7 @@
 
 	mu      sync.Mutex
 	learned string
+	listed  string // the last id that the list had
 }
 
 // Identity returns the id and the pool of the server, if they are known.
@@ -63,14 +64,21 @@
 	return i.learned != ""
 }
 
-// Listed returns the server's entry, if the list has it.
-func (i *Identifier) Listed() (*lister.Server, bool) {
+// Listed returns the server's entry, if the list has it, and tells whether it
+// had it before.
+func (i *Identifier) Listed() (s *lister.Server, listed, before bool) {
 	id, _, ok := i.Identity()
 	list := i.List()
 	if !ok || list == nil {
-		return nil, false
+		return nil, false, false
 	}
-	return list.Server(id)
+	s, listed = list.Server(id)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if listed {
+		i.listed = id
+	}
+	return s, listed, i.listed == id
 }
 
 // Learn records the id that the server stated. It reports whether it is new.
--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -71,6 +71,9 @@
 	}
 	o, report := d.read(rq, result)
 	c.Done(report)
+	if load := result.GetLoad(); load != nil {
+		d.Throttler.Hear(rq.route.Name, c.Server.ID, load.Pressure)
+	}
 	return o
 }
 
@@ -90,6 +93,8 @@
 		Call:        rq.isCall,
 		PatienceMs:  uint32(rq.patience(left).Milliseconds()),
 		Repeated:    rq.arrivals > 0,
+		Route:       rq.route.Name,
+		Preference:  uint32(max(0, rq.preference)),
 	}
 	if o := rq.organisation; o != nil {
 		run.Organisation, run.Weight = o.Name, o.Rate
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -29,6 +29,8 @@
 	"apricotrudder.dev/apricotd/internal/process/budgeter"
 	"apricotrudder.dev/apricotd/internal/process/chooser"
 	"apricotrudder.dev/apricotd/internal/process/rationer"
+	"apricotrudder.dev/apricotd/internal/process/throttler"
+	"apricotrudder.dev/apricotd/internal/process/tracer"
 	"apricotrudder.dev/apricotd/internal/request/performer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
@@ -52,6 +54,11 @@
 	// callPatienceShare of the time left is the same for a call of a backend
 	// server, for which work has already been done.
 	callPatienceShare = 2
+	// throttleWait is what callers are asked to wait whose requests are held
+	// back: long enough for the pressure to follow, short enough to be in time.
+	throttleWait = 600 * time.Millisecond
+	// minCallsPerRun is the least estimate that is taken for a call at all.
+	minCallsPerRun = 0.15
 	// maxTries bounds the servers that are asked, also those that do not get
 	// the request.
 	maxTries = 6
@@ -74,8 +81,12 @@
 		Rations  *rationer.Rationer
 		Linker   *linker.Linker
 		Local    *performer.Performer
-		Log      logrus.FieldLogger
-		Metrics  *metrics.Set
+		// Throttler holds back callers' requests whose trees are overloaded.
+		Throttler *throttler.Throttler
+		// Tracer learns for which routes the own backend server calls.
+		Tracer  *tracer.Tracer
+		Log     logrus.FieldLogger
+		Metrics *metrics.Set
 
 		weigher weigher
 	}
@@ -89,6 +100,7 @@
 		organisation *resolver.Organisation
 		version      uint64
 		rank         int
+		preference   int // order within the rank, by organisation
 		deadline     time.Time
 		fields       []*linkwire.Field
 		isCall       bool
@@ -137,7 +149,41 @@
 		}
 	}
 	rq.fields = d.fields(rq)
-	return nil
+	return d.throttle(rq, tables)
+}
+
+// throttle refuses a caller's request whose tree has no room for its rank. A
+// call of a backend server goes on: work has been done for it already.
+func (d *Director) throttle(rq *request, tables *resolver.Resolver) outcome {
+	if rq.isCall {
+		d.Tracer.Call(rq.route.Name)
+		return nil
+	}
+	holds, pressure := d.Throttler.Holds(rq.route.Name, rq.rank, tables.LowestRank())
+	if !holds {
+		return nil
+	}
+	return refused{
+		reason:     reasonThrottled,
+		detail:     fmt.Sprintf("pressure %.2f on the route's tree", pressure),
+		retryAfter: throttleWait,
+	}
+}
+
+// Downstream returns the pressure of what the calls of a route lead to, as the
+// own backend server makes them.
+func (d *Director) Downstream(route string) float64 {
+	tables := d.Resolver()
+	if tables == nil {
+		return 0
+	}
+	highest := 0.0
+	for _, call := range d.Tracer.Calls(route) {
+		if call.PerRun >= minCallsPerRun {
+			highest = max(highest, min(1, call.PerRun)*d.Throttler.Pressure(call.Name))
+		}
+	}
+	return highest
 }
 
 func (d *Director) identify(rq *request, tables *resolver.Resolver) outcome {
@@ -154,7 +200,7 @@
 	}
 	rq.organisation = o
 	if o.HasRank {
-		rq.rank = o.Rank
+		rq.preference = o.Rank
 	}
 	return nil
 }
@@ -183,3 +229,27 @@
 	}
 	return append(out, &linkwire.Field{Name: d.Names.Caller, Value: d.Caller()})
 }
+
+// A Belief is what this node believes of one route.
+type Belief struct {
+	Route    string        `json:"route"`
+	Pressure float64       `json:"pressure"` // heard from its servers
+	Calls    []tracer.Call `json:"calls,omitempty"`
+}
+
+// Beliefs returns what this node believes of all routes with any pressure or
+// calls.
+func (d *Director) Beliefs() []Belief {
+	tables := d.Resolver()
+	if tables == nil {
+		return nil
+	}
+	var out []Belief
+	for _, r := range tables.Tables.Routes {
+		b := Belief{Route: r.Name, Pressure: d.Throttler.Pressure(r.Name), Calls: d.Tracer.Calls(r.Name)}
+		if b.Pressure > 0 || len(b.Calls) > 0 {
+			out = append(out, b)
+		}
+	}
+	return out
+}
--- a/apricotd/internal/request/director/outcome.go
+++ b/apricotd/internal/request/director/outcome.go
@@ -17,11 +17,12 @@
 
 // Reasons for which this node itself refuses a request.
 const (
-	reasonStarting = "starting"
-	reasonNoRoute  = "noRoute"
-	reasonKey      = "keyUnknown"
-	reasonRate     = "rateExceeded"
-	reasonNoServer = "noServer"
+	reasonStarting  = "starting"
+	reasonNoRoute   = "noRoute"
+	reasonKey       = "keyUnknown"
+	reasonRate      = "rateExceeded"
+	reasonThrottled = "throttled"
+	reasonNoServer  = "noServer"
 )
 
 const (
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -28,7 +28,9 @@
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
+	"apricotrudder.dev/apricotd/internal/process/gauger"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
+	"apricotrudder.dev/apricotd/internal/process/tracer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/checker"
 	"apricotrudder.dev/apricotd/version/lister"
@@ -64,6 +66,10 @@
 	Exchanger  *exchanger.Exchanger
 	Admitter   *admitter.Admitter
 	Identifier *identifier.Identifier
+	Gauger     *gauger.Gauger
+	Tracer     *tracer.Tracer
+	// Downstream returns the pressure of what a route's calls lead to.
+	Downstream func(route string) float64
 	Log        logrus.FieldLogger
 
 	leaving atomic.Bool
@@ -101,6 +107,7 @@
 	defer cancel()
 	result := p.admit(ctx, run, deadline)
 	result.Load = p.Load()
+	result.Load.Pressure = max(p.Gauger.Pressure(), p.Downstream(run.Route))
 	return result
 }
 
@@ -114,14 +121,21 @@
 		Organisation: run.Organisation,
 		Weight:       run.Weight,
 		Deadline:     deadline,
+		Preference:   run.Preference,
 		Patience:     time.Duration(run.PatienceMs) * time.Millisecond,
 	})
 	p.waiting.Add(-1)
 	if err != nil {
-		return shed(err)
+		result := shed(err)
+		if result.GetRefusal().Reason == Overloaded {
+			p.Gauger.Refused()
+		}
+		return result
 	}
 	begun := time.Now()
+	end := p.Tracer.Begin(run.Route)
 	result := p.perform(ctx, run, deadline)
+	end()
 	answered := result.GetAnswer() != nil
 	if answered {
 		p.observe(time.Since(begun))
@@ -157,12 +171,17 @@
 	return nil
 }
 
+// isLeaving tells whether the server takes nothing new: its node stops, or its
+// entry says so or has gone.
 func (p *Performer) isLeaving() bool {
 	if p.leaving.Load() {
 		return true
 	}
-	s, ok := p.Identifier.Listed()
-	return ok && s.State == lister.Leaving
+	s, listed, before := p.Identifier.Listed()
+	if !listed {
+		return before
+	}
+	return s.State == lister.Leaving
 }
 
 // send reports as renamed that the server stated another id.
--- a/apricotd/keeper/keeper.go
+++ b/apricotd/keeper/keeper.go
@@ -2,17 +2,18 @@
 // list of backend servers.
 //
 // It guarantees that the version of the tables in force only rises, and that
-// tables that cannot be read replace nothing. A node that the store does not
-// serve learns from its peers. The store is read and watched, never written.
+// tables that cannot be read replace nothing. A few nodes read the store; the
+// others learn from them what has changed. A node that reads but is not served
+// learns from its peers. The store is read and watched, never written.
 //
 // # Usage
 //
-//	k := &keeper.Keeper{Store: store, Decoder: decoder, Log: log, OnChange: announce}
+//	k := &keeper.Keeper{Store: store, Decoder: decoder, Log: log, OnChange: announce, Reads: reads}
 //	go k.Run(ctx)
 //	r := k.Resolver() // nil before the first tables
 //	l := k.List()
 //
-// A watching node costs the store one call for each change and one for each
+// A reading node costs the store one call for each change and one for each
 // watchWait without change. Memory is one entry for each backend server.
 package keeper
 
@@ -32,22 +33,23 @@
 )
 
 const (
-	// watchWait is the longest time that a watch waits for a change.
-	watchWait = 5 * time.Second
+	// watchWait is the longest time that a watch waits for a change. It is
+	// short since a store that loses its history may leave a watch unanswered.
+	watchWait = time.Second
 	// callTimeout bounds a read, and what a watch takes beyond its wait.
 	callTimeout = 1500 * time.Millisecond
 	// retryPause separates calls to a store that does not answer. It is drawn
 	// anew for each call between half and one and a half times this.
 	retryPause = 400 * time.Millisecond
-	// lapseHold is how long a server that disappears during or just after an
-	// outage of the store stays listed: entries expire while nobody can renew
-	// them, and are back about two seconds after the outage.
-	lapseHold = 2500 * time.Millisecond
-	// sweepInterval is how often held entries are looked at.
-	sweepInterval = 250 * time.Millisecond
+	// roleInterval is how often a node that does not read looks whether it
+	// should.
+	roleInterval = 50 * time.Millisecond
 	// healthyFor is the age up to which an answer shows that the store serves
 	// this node.
-	healthyFor = watchWait + callTimeout
+	healthyFor = watchWait + 500*time.Millisecond
+	// outageFrom is the time without answer from which entries may have
+	// expired because nobody could renew them.
+	outageFrom = time.Second
 )
 
 // ErrHistoryGone reports that the store no longer has the changes asked for.
@@ -61,28 +63,26 @@
 		Revision uint64
 		// Gone tells that the entry was removed; it has no value then.
 		Gone bool
+		// Held tells that the removal may be undone: it fell into an outage.
+		Held bool
 	}
 
-	// A Snapshot is the whole published state.
+	// A Snapshot is published state: all of it, or what changed up to its
+	// revision.
 	Snapshot struct {
-		Tables   []byte // empty: none are published
-		Servers  []Item
-		Revision uint64
-	}
-
-	// Changes is what was published after a revision.
-	Changes struct {
-		Tables   []byte // empty: not changed
+		Tables   []byte // empty: none, or not changed
 		Servers  []Item // in the order of the changes
-		Revision uint64
+		Revision uint64 // 0: no word on servers
+		Whole    bool   // Servers is the whole list
 	}
 
 	// A Store is where the state is published.
 	Store interface {
+		// Read returns the whole state.
 		Read(ctx context.Context) (*Snapshot, error)
 		// Watch returns what changed after the revision, or no change once
 		// the wait is over.
-		Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+		Watch(ctx context.Context, after uint64, wait time.Duration) (*Snapshot, error)
 	}
 
 	// A Decoder reads what is published.
@@ -98,6 +98,8 @@
 		Log     logrus.FieldLogger
 		// OnChange is called after each change.
 		OnChange func()
+		// Reads tells whether this node is to read the store now.
+		Reads func() bool
 
 		resolver atomic.Pointer[resolver.Resolver]
 		list     atomic.Pointer[lister.List]
@@ -105,15 +107,11 @@
 		mu       sync.Mutex
 		entries  map[string]*entry
 		revision uint64
+		complete uint64    // revision from which all removals are remembered
 		answered time.Time // when the store last answered
-		failing  bool
-		regained time.Time // when the store answered again after failures
-	}
-
-	entry struct {
-		item   Item
-		server *lister.Server // nil if the entry names none
-		gone   time.Time      // when a held entry ends; zero: it is listed
+		failing  time.Time // since when it does not answer; zero: it does
+		regained time.Time // when it answered again after an outage for all
+		heard    time.Time // when a peer last had newer servers
 	}
 )
 
@@ -137,49 +135,62 @@
 func (k *Keeper) IsServed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.failing && time.Since(k.answered) < healthyFor
+	return k.failing.IsZero() && time.Since(k.answered) < healthyFor
 }
 
-// Run reads and watches until the context ends.
+// Run reads and watches while it is this node's turn, until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	go k.sweep(ctx)
 	for ctx.Err() == nil {
-		if err := k.follow(ctx); err != nil && ctx.Err() == nil {
+		if !k.Reads() {
+			sleep(ctx, roleInterval)
+			continue
+		}
+		if err := k.step(ctx); err != nil && ctx.Err() == nil {
 			k.fail(err)
-			pause(ctx)
+			sleep(ctx, retryPause/2+rand.N(retryPause))
 		}
 	}
 }
 
-// follow reads the whole state and then its changes, until a call fails.
-func (k *Keeper) follow(ctx context.Context) error {
-	if _, revision := k.Versions(); revision == 0 {
-		if err := k.readAll(ctx); err != nil {
-			return err
-		}
+// Check makes one call to the store, to learn whether it serves this node.
+func (k *Keeper) Check(ctx context.Context) error {
+	_, revision := k.Versions()
+	_, err := k.watch(ctx, revision, 0)
+	if errors.Is(err, ErrHistoryGone) {
+		return nil
 	}
-	for {
-		_, revision := k.Versions()
-		changes, err := k.watch(ctx, revision)
-		if errors.Is(err, ErrHistoryGone) {
-			err = k.readAll(ctx)
-			changes = &Changes{}
-		}
-		if err != nil {
-			return err
-		}
-		k.applyChanges(changes)
+	return err
+}
+
+// step makes one call: a read of everything, or a watch.
+func (k *Keeper) step(ctx context.Context) error {
+	_, revision := k.Versions()
+	if revision == 0 {
+		return k.readAll(ctx)
 	}
+	changes, err := k.watch(ctx, revision, watchWait)
+	if errors.Is(err, ErrHistoryGone) {
+		k.Log.WithField("revision", revision).Info("history of the store is gone; everything is read again")
+		return k.readAll(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	k.Apply(changes, "store")
+	return nil
 }
 
-func (k *Keeper) watch(ctx context.Context, after uint64) (*Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+func (k *Keeper) watch(ctx context.Context, after uint64, wait time.Duration) (*Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	changes, err := k.Store.Watch(ctx, after, watchWait)
+	changes, err := k.Store.Watch(ctx, after, wait)
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		k.succeed()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("watch store: %w", err)
 	}
-	k.succeed()
 	return changes, nil
 }
 
@@ -191,18 +202,22 @@
 		return fmt.Errorf("read store: %w", err)
 	}
 	k.succeed()
-	k.ApplySnapshot(snapshot, "store")
+	k.Apply(snapshot, "store")
 	return nil
 }
 
+// succeed notes an answer. After an outage that peers did not see either,
+// entries that have expired meanwhile may come back.
 func (k *Keeper) succeed() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	if k.failing {
-		k.failing = false
-		k.regained = now
-		k.Log.Info("store answers again")
+	if !k.failing.IsZero() {
+		if now.Sub(k.failing) > outageFrom && k.heard.Before(k.failing) {
+			k.regained = now
+		}
+		k.Log.WithField("failedForMs", now.Sub(k.failing).Milliseconds()).Info("store answers again")
+		k.failing = time.Time{}
 	}
 	k.answered = now
 }
@@ -210,40 +225,47 @@
 func (k *Keeper) fail(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.failing {
+	if k.failing.IsZero() {
+		k.failing = time.Now()
 		k.Log.WithError(err).Warn("store does not answer")
 	}
-	k.failing = true
 }
 
-func pause(ctx context.Context) {
-	timer := time.NewTimer(retryPause/2 + rand.N(retryPause))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+// Apply takes state, from the store or from a peer.
+func (k *Keeper) Apply(s *Snapshot, source string) {
+	changed := k.applyTables(s.Tables, source)
+	if k.applyServers(s, source) || changed {
+		k.OnChange()
 	}
 }
 
-// ApplyTables puts tables in force if they are newer than those that are.
-func (k *Keeper) ApplyTables(raw []byte, source string) {
+// applyTables puts tables in force if they are newer than those that are.
+func (k *Keeper) applyTables(raw []byte, source string) bool {
 	if len(raw) == 0 {
-		return
+		return false
 	}
+	log := k.Log.WithField("source", source)
 	tables, err := k.Decoder.Tables(raw)
 	if err != nil {
-		k.Log.WithError(err).WithField("source", source).Error("tables rejected; those in force stay")
-		return
+		log.WithError(err).Error("tables rejected; those in force stay")
+		return false
 	}
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	current := k.resolver.Load()
-	isNewer := current == nil || tables.Version > current.Tables.Version
-	if isNewer {
-		k.resolver.Store(resolver.New(tables))
+	if current != nil && tables.Version <= current.Tables.Version {
+		return false
 	}
-	k.mu.Unlock()
-	if isNewer {
-		k.Log.WithField("version", tables.Version).WithField("source", source).Info("tables in force")
-		k.OnChange()
+	k.resolver.Store(resolver.New(tables))
+	log.WithField("version", tables.Version).Info("tables in force")
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -36,8 +36,11 @@
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/budgeter"
 	"apricotrudder.dev/apricotd/internal/process/chooser"
+	"apricotrudder.dev/apricotd/internal/process/gauger"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
 	"apricotrudder.dev/apricotd/internal/process/rationer"
+	"apricotrudder.dev/apricotd/internal/process/throttler"
+	"apricotrudder.dev/apricotd/internal/process/tracer"
 	"apricotrudder.dev/apricotd/internal/request/director"
 	"apricotrudder.dev/apricotd/internal/request/performer"
 	"apricotrudder.dev/apricotd/keeper"
@@ -86,9 +89,14 @@
 	identifier *identifier.Identifier
 	chooser    *chooser.Chooser
 	rationer   *rationer.Rationer
+	gauger     *gauger.Gauger
+	tracer     *tracer.Tracer
 	performer  *performer.Performer
 	director   *director.Director
+	readers    *readers
 	fetches    fetches
+	voucher    voucher
+	background context.Context // ends when the node has stopped
 }
 
 // Run serves until the context ends and then stops gracefully.
@@ -99,6 +107,7 @@
 	n.build()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	n.background = background
 	failed, err := n.open(background)
 	if err != nil {
 		return err
@@ -106,7 +115,10 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { n.keeper.Run(background) })
 	wg.Go(func() { n.probe(background) })
+	wg.Go(func() { n.beatAsReader(background) })
 	wg.Go(func() { n.tellDemand(background) })
+	wg.Go(func() { n.gauger.Run(background) })
+	wg.Go(func() { n.tellBeliefs(background) })
 	n.Log.WithField("vm", n.Settings.VM).Info("node started")
 	select {
 	case <-ctx.Done():
@@ -130,14 +142,31 @@
 	}
 	n.metrics = metrics.NewSet()
 	n.SetPool(s.Pool)
-	n.keeper = &keeper.Keeper{Store: n.Store, Decoder: n.Decoder, Log: n.Log, OnChange: n.changed}
+	n.keeper = &keeper.Keeper{
+		Store:    n.Store,
+		Decoder:  n.Decoder,
+		Log:      n.Log,
+		OnChange: n.changed,
+		Reads:    n.reads,
+	}
+	n.readers = &readers{
+		Self:   s.Listen.Links.Addr(),
+		Region: s.Region,
+		List:   n.keeper.List,
+		State:  func(a netip.Addr) (linked, silent bool) { return n.linker.State(a) },
+	}
 	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID}
 	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.ownPool, List: n.keeper.List}
+	n.gauger = &gauger.Gauger{Load: n.ownLoad}
+	n.tracer = &tracer.Tracer{}
 	n.performer = &performer.Performer{
 		Names:      n.Names,
 		Exchanger:  n.exchanger,
 		Admitter:   &admitter.Admitter{},
 		Identifier: n.identifier,
+		Gauger:     n.gauger,
+		Tracer:     n.tracer,
+		Downstream: func(route string) float64 { return n.director.Downstream(route) },
 		Log:        n.Log,
 	}
 	n.performer.SetSlots(defaultSlots)
@@ -181,14 +210,21 @@
 			Allowance: s.Retries.Allowance,
 			Nodes:     n.nodes,
 		},
-		Rations: n.rationer,
-		Linker:  n.linker,
-		Local:   n.performer,
-		Log:     n.Log,
-		Metrics: n.metrics,
+		Rations:   n.rationer,
+		Linker:    n.linker,
+		Local:     n.performer,
+		Throttler: &throttler.Throttler{},
+		Tracer:    n.tracer,
+		Log:       n.Log,
+		Metrics:   n.metrics,
 	}
 }
 
+func (n *Node) ownLoad() (running, waiting, slots int) {
+	load := n.performer.Load()
+	return int(load.Running), int(load.Waiting), int(load.Slots)
+}
+
 func (n *Node) ownPool() string { return *n.pool.Load() }
 
 func (n *Node) limits() resolver.Limits {
@@ -222,9 +258,20 @@
 	return !n.leaving.Load() && n.keeper.Resolver() != nil && n.keeper.List() != nil
 }
 
+// reads tells whether this node is to read the store: before it knows
+// anything, and while it is one of its region's readers.
+func (n *Node) reads() bool {
+	return n.keeper.Resolver() == nil || n.keeper.List() == nil || n.readers.isReader()
+}
+
 // changed follows new tables or servers.
 func (n *Node) changed() {
-	if s, ok := n.identifier.Listed(); ok && s.Slots > 0 {
+	if id, _, ok := n.identifier.Identity(); ok {
+		if listed, known := n.keeper.IsListed(id); known && !listed {
+			go n.vouch(n.background)
+		}
+	}
+	if s, ok, _ := n.identifier.Listed(); ok && s.Slots > 0 {
 		n.performer.SetSlots(s.Slots)
 	}
 	if list := n.keeper.List(); list != nil {
--- /dev/null
+++ b/apricotd/mesher/prober.go
@@ -0,0 +1,157 @@
+package mesher
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"apricotrudder.dev/apricotd/internal/connection/exchanger"
+	"apricotrudder.dev/apricotd/internal/connection/parser"
+)
+
+const (
+	// probeInterval is how often a server whose id is not known is asked.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	// vouchInterval is how often a node vouches for its server.
+	vouchInterval = 500 * time.Millisecond
+)
+
+// voucher holds the id of the backend server for which this node vouches.
+type voucher struct {
+	mu      sync.Mutex
+	id      string
+	running bool
+}
+
+func (v *voucher) current() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.id
+}
+
+func (v *voucher) set(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.id = id
+}
+
+// begin reports false if vouching is under way already.
+func (v *voucher) begin() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	began := !v.running
+	v.running = true
+	return began
+}
+
+func (v *voucher) end() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.id, v.running = "", false
+}
+
+// probe asks the own backend server for its id while that is not known.
+func (n *Node) probe(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		if !n.identifier.IsLearned() {
+			n.probeOnce(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) probeOnce(ctx context.Context) {
+	answer, err := n.askHealth(ctx)
+	if err != nil || !n.identifier.Learn(answer.Fields.Get(n.Names.Server)) {
+		return
+	}
+	id, pool, _ := n.identifier.Identity()
+	n.Log.WithField("server", id).WithField("pool", pool).Info("backend server identified")
+	n.changed()
+}
+
+func (n *Node) askHealth(ctx context.Context) (*exchanger.Answered, error) {
+	r := n.keeper.Resolver()
+	if r == nil {
+		return nil, errors.New("no tables are in force")
+	}
+	pool := r.Tables.Pools[n.ownPool()]
+	if pool == nil || pool.HealthPath == "" {
+		return nil, errors.New("the tables have no health check for the backend server")
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	o := n.exchanger.Do(ctx, &exchanger.Call{
+		Method:     http.MethodGet,
+		Target:     pool.HealthPath,
+		Host:       n.Settings.Backend.Address.String(),
+		Fields:     parser.Fields{},
+		Idempotent: true,
+	})
+	answer, ok := o.(exchanger.Answered)
+	if !ok {
+		return nil, errors.New("backend server does not answer its health check")
+	}
+	return &answer, nil
+}
+
+// vouch is for a VM that is cut off from the store but not from its peers: the
+// backend server's entry expires although the server is healthy. While that
+// lasts, the node tells its peers so. It ends when the store answers this node,
+// which shows that the entry has gone for another reason, or when the server
+// says that it is not healthy, as it does when it leaves.
+func (n *Node) vouch(ctx context.Context) {
+	if !n.identifier.IsLearned() || !n.voucher.begin() {
+		return
+	}
+	defer n.voucher.end()
+	id, _, _ := n.identifier.Identity()
+	served := make(chan struct{})
+	go n.awaitStore(ctx, served)
+	n.Log.WithField("server", id).Info("entry of the backend server has gone; checking why")
+	for ctx.Err() == nil && !n.leaving.Load() {
+		answer, err := n.askHealth(ctx)
+		if err != nil || answer.Status != http.StatusOK || answer.Fields.Get(n.Names.Server) != id {
+			return
+		}
+		n.voucher.set(id)
+		n.keeper.Vouch(n.Settings.Listen.Links.Addr(), id)
+		n.linker.Announce()
+		select {
+		case <-served:
+			return
+		case <-ctx.Done():
+		case <-time.After(vouchInterval):
+		}
+		if listed, _ := n.keeper.IsListed(id); listed {
+			return
+		}
+	}
+}
+
+// awaitStore closes the channel once the store answers this node.
+func (n *Node) awaitStore(ctx context.Context, served chan<- struct{}) {
+	for ctx.Err() == nil && n.voucher.isRunning() {
+		if n.keeper.Check(ctx) == nil {
+			close(served)
+			return
+		}
+		time.Sleep(vouchInterval)
+	}
+}
+
+func (v *voucher) isRunning() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.running
+}
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -1,107 +1,169 @@
 package mesher
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
-	"net/http"
+	"fmt"
+	"io"
+	"net/netip"
 	"sync"
 	"time"
 
-	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
-	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/keeper"
 	"apricotrudder.dev/wire/linkwire"
 )
 
 const (
-	// fetchDelay is how long the store may take to bring what a peer has
-	// already, before the peer is asked for it.
+	// fetchDelay is how long the store may take to bring a reader what a peer
+	// has already, before the peer is asked for it.
 	fetchDelay = 300 * time.Millisecond
 	// fetchInterval bounds how often peers are asked.
-	fetchInterval = 500 * time.Millisecond
+	fetchInterval = 150 * time.Millisecond
 	// demandInterval is how often regions tell each other what is asked of them.
 	demandInterval = time.Second
-	// probeInterval is how often a server whose id is not known is asked.
-	probeInterval = 500 * time.Millisecond
-	probeTimeout  = 400 * time.Millisecond
+	// inflateLimit bounds tables that a peer sends, in bytes.
+	inflateLimit = 64 << 20
 )
 
 // fetches remembers when peers were last asked for state.
 type fetches struct {
-	mu   sync.Mutex
-	last time.Time
+	mu      sync.Mutex
+	last    time.Time
+	pending bool
 }
 
 func (n *Node) beat() *linkwire.Beat {
 	tables, servers := n.keeper.Versions()
-	return &linkwire.Beat{Tables: tables, Servers: servers, Leaving: n.leaving.Load()}
+	return &linkwire.Beat{
+		Tables:  tables,
+		Servers: servers,
+		Leaving: n.leaving.Load(),
+		Served:  n.readers.isReader() && n.keeper.IsServed(),
+		Vouched: n.voucher.current(),
+	}
 }
 
 // receive takes what peers send besides exchanges.
 func (n *Node) receive(l *linker.Link, frame *linkwire.Frame) {
 	switch kind := frame.Kind.(type) {
 	case *linkwire.Frame_Beat:
-		if kind.Beat.Reply {
-			l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: n.beat()}})
-		}
-		if n.isBehind(kind.Beat) {
-			time.AfterFunc(fetchDelay, func() { n.fetch(l, kind.Beat) })
-		}
+		n.receiveBeat(l, kind.Beat)
 	case *linkwire.Frame_Fetch:
 		n.sendState(l, kind.Fetch)
 	case *linkwire.Frame_Snapshot:
-		n.takeState(l, kind.Snapshot)
+		if err := n.takeState(l, kind.Snapshot); err != nil {
+			n.Log.WithError(err).WithField("peer", l.Peer).Error("state of a peer rejected")
+		}
 	case *linkwire.Frame_Usage:
 		n.rationer.Hear(kind.Usage)
 	}
 }
 
-// isBehind tells whether a peer has state that this node lacks. The server
-// list is taken from peers only while the store does not serve this node.
+func (n *Node) receiveBeat(l *linker.Link, b *linkwire.Beat) {
+	if b.Reply {
+		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: n.beat()}})
+	}
+	if b.Served {
+		n.readers.heard(l.Peer)
+	}
+	if b.Vouched != "" {
+		n.keeper.Vouch(l.Peer, b.Vouched)
+	}
+	if !n.isBehind(b) {
+		return
+	}
+	if n.keeper.IsServed() {
+		time.AfterFunc(fetchDelay, func() { n.fetch(l, b) })
+		return
+	}
+	n.fetch(l, b)
+}
+
+// isBehind tells whether a peer has state that this node lacks.
 func (n *Node) isBehind(b *linkwire.Beat) bool {
 	tables, servers := n.keeper.Versions()
-	return b.Tables > tables || b.Servers > servers && !n.keeper.IsServed()
+	return b.Tables > tables || b.Servers > servers
 }
 
+// fetch asks a peer for what is missing. Peers announce a change together, so
+// the second asks only if the first has not answered.
 func (n *Node) fetch(l *linker.Link, b *linkwire.Beat) {
 	if !n.isBehind(b) {
 		return
 	}
-	n.fetches.mu.Lock()
-	wait := fetchInterval - time.Since(n.fetches.last)
+	f := &n.fetches
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := fetchInterval - time.Since(f.last)
 	if wait <= 0 {
-		n.fetches.last = time.Now()
+		f.last = time.Now()
+		tables, servers := n.keeper.Versions()
+		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{Tables: tables, Servers: servers}}})
+		wait = fetchInterval
 	}
-	n.fetches.mu.Unlock()
-	if wait > 0 {
-		time.AfterFunc(wait, func() { n.fetch(l, b) })
+	if f.pending {
 		return
 	}
-	tables, servers := n.keeper.Versions()
-	l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{Tables: tables, Servers: servers}}})
+	f.pending = true
+	time.AfterFunc(wait, func() {
+		f.mu.Lock()
+		f.pending = false
+		f.mu.Unlock()
+		n.fetch(l, b)
+	})
 }
 
 func (n *Node) sendState(l *linker.Link, f *linkwire.Fetch) {
-	state := n.keeper.Snapshot()
-	out := &linkwire.Snapshot{}
-	if tables, _ := n.keeper.Versions(); tables > f.Tables {
-		out.Tables = state.Tables
-	}
-	if state.Revision > f.Servers {
-		out.Revision = state.Revision
-		for _, item := range state.Servers {
-			out.Items = append(out.Items, &linkwire.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
-		}
+	state := n.keeper.Since(f.Tables, f.Servers)
+	out := &linkwire.Snapshot{Tables: deflate(state.Tables), Revision: state.Revision, Whole: state.Whole}
+	for _, item := range state.Servers {
+		out.Items = append(out.Items, &linkwire.Item{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Gone: item.Gone, Held: item.Held,
+		})
 	}
 	l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Snapshot{Snapshot: out}})
 }
 
-func (n *Node) takeState(l *linker.Link, s *linkwire.Snapshot) {
-	state := &keeper.Snapshot{Tables: s.Tables, Revision: s.Revision}
+func (n *Node) takeState(l *linker.Link, s *linkwire.Snapshot) error {
+	tables, err := inflate(s.Tables)
+	if err != nil {
+		return fmt.Errorf("read tables: %w", err)
+	}
+	state := &keeper.Snapshot{Tables: tables, Revision: s.Revision, Whole: s.Whole}
 	for _, item := range s.Items {
-		state.Servers = append(state.Servers, keeper.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		state.Servers = append(state.Servers, keeper.Item{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Gone: item.Gone, Held: item.Held,
+		})
+	}
+	n.keeper.Apply(state, l.Peer.String())
+	return nil
+}
+
+func deflate(data []byte) []byte {
+	if len(data) == 0 {
+		return nil
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		panic(fmt.Sprintf("make deflate writer: %v", err)) // the level is a constant
 	}
-	n.keeper.ApplySnapshot(state, l.Peer.String())
+	_, _ = w.Write(data) // a bytes.Buffer takes everything
+	_ = w.Close()
+	return out.Bytes()
+}
+
+func inflate(data []byte) ([]byte, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), inflateLimit))
+	if err != nil {
+		return nil, fmt.Errorf("inflate: %w", err)
+	}
+	return out, nil
 }
 
 // tellDemand tells the keepers of other regions what is asked of this one.
@@ -120,45 +182,8 @@
 	}
 }
 
-// probe asks the own backend server for its id while that is not known.
-func (n *Node) probe(ctx context.Context) {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		if !n.identifier.IsLearned() {
-			n.probeOnce(ctx)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (n *Node) probeOnce(ctx context.Context) {
-	r := n.keeper.Resolver()
-	if r == nil {
-		return
-	}
-	pool := r.Tables.Pools[n.ownPool()]
-	if pool == nil || pool.HealthPath == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	o := n.exchanger.Do(ctx, &exchanger.Call{
-		Method:     http.MethodGet,
-		Target:     pool.HealthPath,
-		Host:       n.Settings.Backend.Address.String(),
-		Fields:     parser.Fields{},
-		Idempotent: true,
-	})
-	answer, ok := o.(exchanger.Answered)
-	if !ok || !n.identifier.Learn(answer.Fields.Get(n.Names.Server)) {
-		return
-	}
-	id, name, _ := n.identifier.Identity()
-	n.Log.WithField("server", id).WithField("pool", name).Info("backend server identified")
-	n.changed()
+// isNear tells whether a node is in the own region.
+func (n *Node) isNear(a netip.Addr) bool {
+	list := n.keeper.List()
+	return list != nil && list.Region(a) == n.Settings.Region
 }
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -72,7 +72,8 @@
 		// fleet, in requests per second and requests; a Rate of 0 does not.
 		Rate  float64
 		Burst float64
-		// Rank replaces the rank of the route if HasRank is set.
+		// Rank orders the organisation's requests among others of the same
+		// route rank, if HasRank is set; 0 goes first.
 		Rank    int
 		HasRank bool
 	}
@@ -92,6 +93,7 @@
 		routes map[string]map[string]*Route // by host and prefix
 		keys   map[string]*Organisation
 		names  map[string]*Organisation
+		lowest int
 	}
 )
 
@@ -104,6 +106,7 @@
 		names:  make(map[string]*Organisation),
 	}
 	for _, route := range t.Routes {
+		r.lowest = max(r.lowest, route.Rank)
 		if r.routes[route.Host] == nil {
 			r.routes[route.Host] = make(map[string]*Route)
 		}
@@ -150,6 +153,11 @@
 	return o, ok
 }
 
+// LowestRank returns the rank of the least urgent routes.
+func (r *Resolver) LowestRank() int {
+	return r.lowest
+}
+
 // NeedsKeys tells whether routes that are not open need a key.
 func (r *Resolver) NeedsKeys() bool {
 	return len(r.Tables.Organisations) > 0
