--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -337,7 +337,8 @@
 	}
 }
 
-func (l *Link) isClosed() bool {
+// IsClosed tells whether the link has ended.
+func (l *Link) IsClosed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.closed
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -311,7 +311,7 @@
 		return
 	}
 	p.silent = false
-	if !link.isClosed() {
+	if !link.IsClosed() {
 		p.link = link
 	}
 }
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -19,6 +19,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +65,8 @@
 	maxTries = 6
 	// startWait is what callers are asked to wait while this node starts.
 	startWait = 500 * time.Millisecond
+	// stopWait is the same while it stops; it may be back soon after.
+	stopWait = time.Second
 	// noServerWait is the same while a pool has no usable server.
 	noServerWait = 500 * time.Millisecond
 )
@@ -89,6 +92,7 @@
 		Metrics *metrics.Set
 
 		weigher weigher
+		closed  atomic.Bool
 	}
 
 	// A request is one request on its way through the director.
@@ -109,6 +113,10 @@
 	}
 )
 
+// Close refuses callers' requests from now on; those that run go on, and so do
+// the calls of the own backend server.
+func (d *Director) Close() { d.closed.Store(true) }
+
 // Serve answers one request. It returns nil if its caller has gone.
 func (d *Director) Serve(ctx context.Context, r *acceptor.Request) *acceptor.Response {
 	rq := &request{Request: r, id: r.Fields.Get(d.Names.RequestID)}
@@ -139,6 +147,9 @@
 	if o := d.identify(rq, tables); o != nil {
 		return o
 	}
+	if d.closed.Load() && !rq.isCall {
+		return refused{reason: reasonStopping, retryAfter: stopWait}
+	}
 	rq.deadline = d.deadline(rq)
 	rq.pool = d.weigher.pick(route)
 	d.Budget.Count(rq.pool)
--- a/apricotd/internal/request/director/outcome.go
+++ b/apricotd/internal/request/director/outcome.go
@@ -18,6 +18,7 @@
 // Reasons for which this node itself refuses a request.
 const (
 	reasonStarting  = "starting"
+	reasonStopping  = "stopping"
 	reasonNoRoute   = "noRoute"
 	reasonKey       = "keyUnknown"
 	reasonRate      = "rateExceeded"
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -57,9 +57,11 @@
 	// stopMargin is left of the time to stop, for closing.
 	stopMargin = 700 * time.Millisecond
 	// callersLeave is how long callers may take to notice that this node
-	// stops: two health checks a second apart, and their requests.
-	callersLeave  = 3500 * time.Millisecond
-	drainInterval = 50 * time.Millisecond
+	// stops: two failed health checks a second apart, and the time of one.
+	callersLeave = 3 * time.Second
+	// A node has finished after quietIntervals without any request.
+	drainInterval  = 50 * time.Millisecond
+	quietIntervals = 10
 )
 
 // startLimits are in force until the first tables are.
@@ -94,7 +96,7 @@
 	performer  *performer.Performer
 	director   *director.Director
 	readers    *readers
-	fetches    fetches
+	fetcher    *fetcher
 	voucher    voucher
 	background context.Context // ends when the node has stopped
 }
@@ -155,6 +157,7 @@
 		List:   n.keeper.List,
 		State:  func(a netip.Addr) (linked, silent bool) { return n.linker.State(a) },
 	}
+	n.fetcher = &fetcher{IsBehind: n.isBehind, Request: n.fetchRequest}
 	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID}
 	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.ownPool, List: n.keeper.List}
 	n.gauger = &gauger.Gauger{Load: n.ownLoad}
@@ -314,7 +317,10 @@
 	return failed, nil
 }
 
-// drain lets callers leave and finishes what runs.
+// drain lets callers leave and finishes what runs. A request that comes after
+// the time that callers need to turn elsewhere is refused, since it might not
+// be finished in time; calls of the backend server still belong to requests
+// that run.
 func (n *Node) drain() {
 	n.Log.WithField("vm", n.Settings.VM).Info("node is stopping")
 	begun := time.Now()
@@ -324,8 +330,12 @@
 	n.linker.Announce()
 	end := begun.Add(time.Duration(n.Settings.Limits.StopWithin) - stopMargin)
 	time.Sleep(min(callersLeave, time.Until(end)))
-	for n.isBusy() && time.Now().Before(end) {
+	n.director.Close()
+	for quiet := 0; quiet < quietIntervals && time.Now().Before(end); quiet++ {
 		time.Sleep(drainInterval)
+		if n.isBusy() {
+			quiet = -1
+		}
 	}
 }
 
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"sync"
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/connection/linker"
@@ -16,24 +15,12 @@
 )
 
 const (
-	// fetchDelay is how long the store may take to bring a reader what a peer
-	// has already, before the peer is asked for it.
-	fetchDelay = 300 * time.Millisecond
-	// fetchInterval bounds how often peers are asked.
-	fetchInterval = 150 * time.Millisecond
 	// demandInterval is how often regions tell each other what is asked of them.
 	demandInterval = time.Second
 	// inflateLimit bounds tables that a peer sends, in bytes.
 	inflateLimit = 64 << 20
 )
 
-// fetches remembers when peers were last asked for state.
-type fetches struct {
-	mu      sync.Mutex
-	last    time.Time
-	pending bool
-}
-
 func (n *Node) beat() *linkwire.Beat {
 	tables, servers := n.keeper.Versions()
 	return &linkwire.Beat{
@@ -74,11 +61,11 @@
 	if !n.isBehind(b) {
 		return
 	}
+	delay := time.Duration(0)
 	if n.keeper.IsServed() {
-		time.AfterFunc(fetchDelay, func() { n.fetch(l, b) })
-		return
+		delay = fetchDelay
 	}
-	n.fetch(l, b)
+	n.fetcher.offered(l, b, delay)
 }
 
 // isBehind tells whether a peer has state that this node lacks.
@@ -87,32 +74,9 @@
 	return b.Tables > tables || b.Servers > servers
 }
 
-// fetch asks a peer for what is missing. Peers announce a change together, so
-// the second asks only if the first has not answered.
-func (n *Node) fetch(l *linker.Link, b *linkwire.Beat) {
-	if !n.isBehind(b) {
-		return
-	}
-	f := &n.fetches
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	wait := fetchInterval - time.Since(f.last)
-	if wait <= 0 {
-		f.last = time.Now()
-		tables, servers := n.keeper.Versions()
-		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{Tables: tables, Servers: servers}}})
-		wait = fetchInterval
-	}
-	if f.pending {
-		return
-	}
-	f.pending = true
-	time.AfterFunc(wait, func() {
-		f.mu.Lock()
-		f.pending = false
-		f.mu.Unlock()
-		n.fetch(l, b)
-	})
+func (n *Node) fetchRequest() *linkwire.Frame {
+	tables, servers := n.keeper.Versions()
+	return &linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{Tables: tables, Servers: servers}}}
 }
 
 func (n *Node) sendState(l *linker.Link, f *linkwire.Fetch) {
