--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -16,6 +16,9 @@
 	// probeInterval is how often a server whose id is not known is asked.
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond
+	// vouchDelay is how long the store may take to answer before a node vouches
+	// for its server.
+	vouchDelay = 300 * time.Millisecond
 	// vouchInterval is how often a node vouches for its server.
 	vouchInterval = 500 * time.Millisecond
 )
@@ -25,6 +28,7 @@
 	mu      sync.Mutex
 	id      string
 	running bool
+	gone    string // the server whose entry the store itself lacks
 }
 
 func (v *voucher) current() string {
@@ -39,13 +43,23 @@
 	v.id = id
 }
 
-// begin reports false if vouching is under way already.
-func (v *voucher) begin() bool {
+// begin reports false if vouching for the server is under way, or was found to
+// be wrong.
+func (v *voucher) begin(id string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	began := !v.running
+	if v.running || v.gone == id {
+		return false
+	}
 	v.running = true
-	return began
+	return true
+}
+
+// confirm notes that the entry has gone from the store.
+func (v *voucher) confirm(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.gone = id
 }
 
 func (v *voucher) end() {
@@ -111,34 +125,37 @@
 // which shows that the entry has gone for another reason, or when the server
 // says that it is not healthy, as it does when it leaves.
 func (n *Node) vouch(ctx context.Context) {
-	if !n.identifier.IsLearned() || !n.voucher.begin() {
+	id, _, _ := n.identifier.Identity()
+	if !n.identifier.IsLearned() || !n.voucher.begin(id) {
 		return
 	}
 	defer n.voucher.end()
-	id, _, _ := n.identifier.Identity()
 	served := make(chan struct{})
 	go n.awaitStore(ctx, served)
 	n.Log.WithField("server", id).Info("entry of the backend server has gone; checking why")
-	for ctx.Err() == nil && !n.leaving.Load() {
-		answer, err := n.askHealth(ctx)
-		if err != nil || answer.Status != http.StatusOK || answer.Fields.Get(n.Names.Server) != id {
-			return
-		}
-		n.voucher.set(id)
-		n.keeper.Vouch(n.Settings.Listen.Links.Addr(), id)
-		n.linker.Announce()
+	for delay := vouchDelay; ; delay = vouchInterval {
 		select {
+		case <-ctx.Done():
+			return
 		case <-served:
+			n.voucher.confirm(id)
 			return
-		case <-ctx.Done():
-		case <-time.After(vouchInterval):
+		case <-time.After(delay):
 		}
-		if listed, _ := n.keeper.IsListed(id); listed {
+		if listed, _ := n.keeper.IsListed(id); listed || n.leaving.Load() || !n.isHealthy(ctx, id) {
 			return
 		}
+		n.voucher.set(id)
+		n.keeper.Vouch(n.Settings.Listen.Links.Addr(), id)
+		n.linker.Announce()
 	}
 }
 
+func (n *Node) isHealthy(ctx context.Context, id string) bool {
+	answer, err := n.askHealth(ctx)
+	return err == nil && answer.Status == http.StatusOK && answer.Fields.Get(n.Names.Server) == id
+}
+
 // awaitStore closes the channel once the store answers this node.
 func (n *Node) awaitStore(ctx context.Context, served chan<- struct{}) {
 	for ctx.Err() == nil && n.voucher.isRunning() {
