--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -112,6 +112,7 @@
 		l.Dial = dialTCP
 	}
 	go l.check()
+	context.AfterFunc(ctx, l.closeAll)
 }
 
 // Run accepts links until the context ends or the listener fails.
@@ -332,6 +333,22 @@
 	return errors.Is(err, errSilent) || errors.As(err, &ne) && ne.Timeout() || errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH)
 }
 
+func (l *Linker) closeAll() {
+	for _, link := range l.all() {
+		link.close(context.Cause(l.ctx))
+	}
+}
+
+func (l *Linker) all() []*Link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	links := make([]*Link, 0, len(l.links))
+	for link := range l.links {
+		links = append(links, link)
+	}
+	return links
+}
+
 // check asks silent peers for a beat and gives up those that stay silent.
 func (l *Linker) check() {
 	ticker := time.NewTicker(checkInterval)
@@ -341,13 +358,7 @@
 		case <-l.ctx.Done():
 			return
 		case now := <-ticker.C:
-			l.mu.Lock()
-			links := make([]*Link, 0, len(l.links))
-			for link := range l.links {
-				links = append(links, link)
-			}
-			l.mu.Unlock()
-			for _, link := range links {
+			for _, link := range l.all() {
 				link.check(now)
 			}
 		}
--- a/apricotd/internal/process/budgeter/budgeter.go
+++ b/apricotd/internal/process/budgeter/budgeter.go
@@ -25,9 +25,6 @@
 	safety = 0.6
 )
 
-// epoch makes slots follow the steady clock, whatever the time of day does.
-var epoch = time.Now()
-
 type (
 	// A Budgeter counts requests and repeats. Its exported fields must be set
 	// before use.
@@ -39,6 +36,7 @@
 		Nodes func() int
 
 		mu    sync.Mutex
+		begun time.Time // slots follow the steady clock from here
 		pools map[string]*pool
 	}
 
@@ -101,7 +99,10 @@
 }
 
 func (b *Budgeter) slot() int64 {
-	return int64(time.Since(epoch)/(b.Window/slots)) + slots
+	if b.begun.IsZero() {
+		b.begun = time.Now()
+	}
+	return int64(time.Since(b.begun)/(b.Window/slots)) + slots
 }
 
 func (c *counter) add(slot int64) {
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -80,6 +80,10 @@
 	Store    keeper.Store
 	Decoder  keeper.Decoder
 	Log      logrus.FieldLogger
+	// Listen opens listeners; nil means TCP.
+	Listen func(address netip.AddrPort) (net.Listener, error)
+	// Dial opens connections to nodes and to the backend server; nil means TCP.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 	metrics    *metrics.Set
 	pool       atomic.Pointer[string]
@@ -129,6 +133,7 @@
 	}
 	n.acceptor.Close()
 	stop()
+	n.exchanger.Close()
 	wg.Wait()
 	n.Log.WithField("vm", n.Settings.VM).Info("node stopped")
 	return err
@@ -158,7 +163,7 @@
 		State:  func(a netip.Addr) (linked, silent bool) { return n.linker.State(a) },
 	}
 	n.fetcher = &fetcher{IsBehind: n.isBehind, Request: n.fetchRequest}
-	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID}
+	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID, Dial: n.Dial}
 	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.ownPool, List: n.keeper.List}
 	n.gauger = &gauger.Gauger{Load: n.ownLoad}
 	n.tracer = &tracer.Tracer{}
@@ -179,6 +184,7 @@
 		Lend:    n.lend,
 		Beat:    n.beat,
 		Receive: n.receive,
+		Dial:    n.Dial,
 		Log:     n.Log,
 	}
 	n.chooser = &chooser.Chooser{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence}
@@ -304,7 +310,7 @@
 		{"health checks", l.Health, n.serveHealth},
 		{"operators", l.Operators, n.serveOperators},
 	} {
-		listener, err := net.Listen("tcp", s.address.String())
+		listener, err := n.listen(s.address)
 		if err != nil {
 			return nil, fmt.Errorf("listen for %s: %w", s.name, err)
 		}
@@ -317,6 +323,17 @@
 	return failed, nil
 }
 
+func (n *Node) listen(address netip.AddrPort) (net.Listener, error) {
+	if n.Listen != nil {
+		return n.Listen(address)
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("open listener: %w", err)
+	}
+	return listener, nil
+}
+
 // drain lets callers leave and finishes what runs. A request that comes after
 // the time that callers need to turn elsewhere is refused, since it might not
 // be finished in time; calls of the backend server still belong to requests
--- /dev/null
+++ b/apricotd/mesher/worker_test.go
@@ -0,0 +1,205 @@
+package mesher
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"apricotrudder.dev/standin/connector"
+)
+
+// Ways in which a worker answers.
+const (
+	well      manner = iota
+	twice            // the answer comes twice
+	shedding         // states that it has not run the request
+	cutting          // ends the connection in the middle of the answer
+	vanishing        // runs the request and ends the connection
+	unframed         // no length; the answer ends with the connection
+)
+
+type (
+	manner int
+
+	// A worker is a backend server. It records what it runs.
+	worker struct {
+		id      string
+		pool    string
+		slots   int
+		service time.Duration
+		// call is a request that the worker makes on its own node for each
+		// request that it runs; empty: none.
+		call func() string
+		node func() net.Conn
+
+		mu       sync.Mutex
+		manner   manner
+		unwell   bool // the health check fails
+		ran      []ranRequest
+		arrived  int
+		busy     int
+		mostBusy int
+		listener net.Listener
+	}
+
+	ranRequest struct {
+		id, caller, organisation, key, target string
+		left                                  string
+		at                                    time.Time
+		cancelled                             bool
+	}
+)
+
+func (w *worker) run(t *testing.T, network *connector.Connector, address netip.AddrPort) {
+	listener, err := network.Listen(address)
+	if err != nil {
+		t.Fatalf("listen for backend server: %v", err)
+	}
+	w.listener = listener
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(nc)
+		}
+	}()
+}
+
+func (w *worker) close() { _ = w.listener.Close() }
+
+func (w *worker) set(m manner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.manner = m
+}
+
+func (w *worker) runs() []ranRequest {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]ranRequest(nil), w.ran...)
+}
+
+func (w *worker) serve(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		// A node sends nothing more before it has the answer, so the next byte
+		// or error ends the wait for the next request or shows that it left.
+		next := make(chan struct{})
+		go func() {
+			defer close(next)
+			_, _ = br.Peek(1)
+		}()
+		if !w.answer(nc, next, r, string(body)) {
+			return
+		}
+		<-next
+	}
+}
+
+// answer reports false if the connection ends.
+func (w *worker) answer(nc net.Conn, gone <-chan struct{}, r *http.Request, body string) bool {
+	w.mu.Lock()
+	m, id, unwell := w.manner, w.id, w.unwell
+	w.mu.Unlock()
+	if r.URL.Path == "/health" {
+		status := "200 OK"
+		if unwell {
+			status = "503 Service Unavailable"
+		}
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 %s\r\nServer: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+		return err == nil
+	}
+	w.mu.Lock()
+	w.arrived++
+	w.mu.Unlock()
+	head := "Id: " + r.Header.Get("Id") + "\r\n"
+	switch {
+	case r.Header.Get("Want") != id:
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 421 Misdirected Request\r\n%sServer: %s\r\nContent-Length: 0\r\n\r\n", head, id)
+		return err == nil
+	case m == shedding:
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\n%sNotrun: 1\r\nContent-Length: 0\r\n\r\n", head)
+		return err == nil
+	}
+	failed := w.perform(r, gone)
+	if failed {
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 500 Internal Server Error\r\n%sReceipt: %s\r\nContent-Length: 0\r\n\r\n", head, id)
+		return err == nil
+	}
+	text := "ran " + r.URL.RequestURI() + " " + body
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sReceipt: %s\r\nContent-Length: %d\r\n\r\n%s", head, id, len(text), text)
+	switch m {
+	case twice:
+		_, err := io.WriteString(nc, whole+whole)
+		return err == nil
+	case cutting:
+		_, _ = io.WriteString(nc, whole[:len(whole)-3])
+		return false
+	case vanishing:
+		return false
+	case unframed:
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%sReceipt: %s\r\n\r\n%s", head, id, text)
+		return false
+	}
+	_, err := io.WriteString(nc, whole)
+	return err == nil
+}
+
+// perform works for the time of service, or until the connection ends. It
+// reports whether a call that the request needs has failed.
+func (w *worker) perform(r *http.Request, gone <-chan struct{}) (failed bool) {
+	w.mu.Lock()
+	w.ran = append(w.ran, ranRequest{
+		id: r.Header.Get("Id"), caller: r.Header.Get("Caller"), organisation: r.Header.Get("Org"),
+		key: r.Header.Get("Key"), target: r.URL.RequestURI(), left: r.Header.Get("Left"), at: time.Now(),
+	})
+	place := len(w.ran) - 1
+	w.busy++
+	w.mostBusy = max(w.mostBusy, w.busy)
+	w.mu.Unlock()
+	if w.call != nil {
+		failed = w.makeCall()
+	}
+	cancelled := false
+	select {
+	case <-gone:
+		cancelled = true
+	case <-time.After(w.service):
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy--
+	w.ran[place].cancelled = cancelled
+	return failed
+}
+
+func (w *worker) makeCall() (failed bool) {
+	nc := w.node()
+	if nc == nil {
+		return true
+	}
+	defer nc.Close()
+	if _, err := io.WriteString(nc, w.call()); err != nil {
+		return true
+	}
+	r := readReply(bufio.NewReader(nc), "GET")
+	return r.err != nil || !strings.HasPrefix(fmt.Sprint(r.status), "2")
+}
