--- a/apricotd/internal/process/gauger/gauger.go
+++ b/apricotd/internal/process/gauger/gauger.go
@@ -26,7 +26,7 @@
 const (
 	interval = 100 * time.Millisecond
 	// targetFill is the fill at which the pressure stays as it is.
-	targetFill = 0.95
+	targetFill = 1.05
 	// riseGain and fallGain are ranks per second for a fill that is off the
 	// target by one. Falling is faster, since free slots help nobody.
 	riseGain = 0.6
--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -14,7 +14,7 @@
 	heardFor = 4 * time.Second
 	// tolerated is the part of the agreed overrun that is used. The rest
 	// covers what is admitted while regions or keepers differ.
-	tolerated = 0.45
+	tolerated = 0.4
 	// evenPart of each share goes by the number of nodes, not by demand, so
 	// that a region's first requests find some rate.
 	evenPart = 0.1
@@ -37,6 +37,7 @@
 		filled  time.Time
 		demand  float64 // requests per second, decaying
 		asked   time.Time
+		told    float64 // demand as the other regions were last told
 		refused float64 // callers asked to wait, decaying
 		waited  time.Time
 	}
@@ -105,7 +106,9 @@
 		return 1
 	}
 	own := float64(list.NodesIn(r.Region)) / float64(list.Nodes())
-	known, mine := own, b.demandAt(now)
+	// Computing with what the others were told keeps the shares of all regions
+	// from adding up to more than one while demand rises.
+	known, mine := own, b.told
 	total := mine
 	for region, report := range r.heard {
 		if now.Sub(report.at) > heardFor || region == r.Region {
--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -136,7 +136,8 @@
 	now := time.Now()
 	var out []*linkwire.Demand
 	for name, b := range r.buckets {
-		if d := b.demandAt(now); d >= minDemand {
+		b.told = b.demandAt(now)
+		if d := b.told; d >= minDemand {
 			out = append(out, &linkwire.Demand{Organisation: name, Rate: float32(d)})
 		}
 	}
