--- /dev/null
+++ b/apricotd/internal/connection/parser/parser_test.go
@@ -0,0 +1,126 @@
+package parser
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const testHeadBytes = 4 << 10
+
+var endings = map[Ending]string{NoBody: "none", ByLength: "length", Chunked: "chunked", ByClose: "close"}
+
+func parse(raw string) (*Request, *bufio.Reader, error) {
+	br := bufio.NewReaderSize(strings.NewReader(raw), 64)
+	head, err := ReadHead(br, testHeadBytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	r, err := ParseRequest(head)
+	return r, br, err
+}
+
+func TestRequestsFromFile(t *testing.T) {
+	data, err := os.ReadFile("testdata/requests.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		line = strings.TrimSuffix(line, "\n")
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		parts := strings.SplitN(line, " | ", 3)
+		raw, err := strconv.Unquote(`"` + parts[1] + `"`)
+		if err != nil {
+			t.Fatalf("case %s: %v", parts[0], err)
+		}
+		got := "error"
+		if r, _, err := parse(raw); err == nil {
+			got = fmt.Sprintf("%s %s %s %d", r.Method, r.Target, endings[r.Framing.Ending], r.Framing.Length)
+		}
+		if got != parts[2] {
+			t.Errorf("case %s: got %q, want %q", parts[0], got, parts[2])
+		}
+	}
+}
+
+func TestHeadLimit(t *testing.T) {
+	_, _, err := parse("GET /a HTTP/1.1\r\nOther: " + strings.Repeat("x", testHeadBytes) + "\r\n\r\n")
+	if err == nil {
+		t.Error("head over the limit: got no error, want one")
+	}
+}
+
+// Whatever is accepted means the same to the standard library: the same
+// method, target and body, and the next request begins at the same byte.
+func FuzzAgainstStandardLibrary(f *testing.F) {
+	f.Add("GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+	f.Add("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET")
+	f.Add("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3;e=1\r\nabc\r\n0\r\nT: u\r\n\r\nGET")
+	f.Add("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, raw string) {
+		r, br, err := parse(raw)
+		if err != nil {
+			return
+		}
+		body, err := ReadBody(br, r.Framing, 1<<16)
+		if err != nil {
+			return
+		}
+		rest, _ := io.ReadAll(br)
+		sbr := bufio.NewReader(strings.NewReader(strings.TrimLeft(raw, "\r\n")))
+		std, err := http.ReadRequest(sbr)
+		if err != nil {
+			return // stricter than we are, which hides nothing
+		}
+		stdBody, err := io.ReadAll(std.Body)
+		if err != nil {
+			return
+		}
+		stdRest, _ := io.ReadAll(sbr)
+		if std.Method != r.Method || std.RequestURI != r.Target {
+			t.Errorf("request line of %q: got %s %s, want %s %s", raw, r.Method, r.Target, std.Method, std.RequestURI)
+		}
+		if !bytes.Equal(body, stdBody) || !bytes.Equal(rest, stdRest) {
+			t.Errorf("body and rest of %q: got %q %q, want %q %q", raw, body, rest, stdBody, stdRest)
+		}
+	})
+}
+
+func TestResponses(t *testing.T) {
+	for _, c := range []struct {
+		raw, method, want string
+		keep              bool
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "GET", "length", true},
+		{"HTTP/1.1 200 OK\r\n\r\n", "GET", "close", false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "HEAD", "none", true},
+		{"HTTP/1.1 204 No Content\r\n\r\n", "GET", "none", true},
+		{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "GET", "none", false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "GET", "error", false},
+		{"HTTP/1.1 20 OK\r\n\r\n", "GET", "error", false},
+	} {
+		got, keep := "error", false
+		if r, err := ParseResponse([]byte(c.raw), c.method); err == nil {
+			got, keep = endings[r.Framing.Ending], r.KeepAlive
+		}
+		if got != c.want || keep != c.keep {
+			t.Errorf("response %q to %s: got %s, kept %v, want %s, kept %v", c.raw, c.method, got, keep, c.want, c.keep)
+		}
+	}
+}
+
+func TestFieldsOfOneConnectionAreDropped(t *testing.T) {
+	fields := Fields{{"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"Keep-Alive", "5"}, {"X-End", "2"}, {"Secret", "3"}}
+	got := fields.EndToEnd(func(name string) bool { return name == "Secret" })
+	if len(got) != 1 || got[0].Name != "X-End" {
+		t.Errorf("fields passed on: got %v, want X-End only", got)
+	}
+}
--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -23,6 +24,9 @@
 	startFill = 0.3
 	// minDepth lets a bucket with a small share pass single requests.
 	minDepth = 1.0
+	// settleTime is how long a new bucket keeps to the region's equal part, until
+	// the regions have told each other of the organisation.
+	settleTime = 1500 * time.Millisecond
 	// minDemand is the least demand that is worth telling, in requests per
 	// second.
 	minDemand = 0.05
@@ -38,6 +42,7 @@
 		demand  float64 // requests per second, decaying
 		asked   time.Time
 		told    float64 // demand as the other regions were last told
+		begun   time.Time
 		refused float64 // callers asked to wait, decaying
 		waited  time.Time
 	}
@@ -93,34 +98,46 @@
 	}
 	b := r.buckets[name]
 	if b == nil {
-		b = &bucket{}
+		b = &bucket{begun: time.Now()}
 		r.buckets[name] = b
 	}
 	return b
 }
 
-// share returns the own region's part of an organisation's rate.
+// share returns the own region's part of an organisation's rate. A region that
+// says nothing although its keeper can be reached asks for nothing. Computing
+// with what the others were told keeps the shares of all regions from adding
+// up to more than one while demand rises.
 func (r *Rationer) share(name string, b *bucket, now time.Time) float64 {
 	list := r.List()
 	if list == nil || list.Nodes() == 0 {
 		return 1
 	}
-	own := float64(list.NodesIn(r.Region)) / float64(list.Nodes())
-	// Computing with what the others were told keeps the shares of all regions
-	// from adding up to more than one while demand rises.
-	known, mine := own, b.told
-	total := mine
-	for region, report := range r.heard {
-		if now.Sub(report.at) > heardFor || region == r.Region {
+	own := r.part(list, r.Region)
+	if b.asked.IsZero() || now.Sub(b.begun) < settleTime {
+		return own
+	}
+	known, total := own, b.told
+	for _, region := range list.Regions() {
+		if region == r.Region {
 			continue
 		}
-		known += float64(list.NodesIn(region)) / float64(list.Nodes())
-		total += report.demands[name]
+		if report := r.heard[region]; report != nil && now.Sub(report.at) < heardFor {
+			total += report.demands[name]
+			known += r.part(list, region)
+		} else if r.isKeeperLinked(region, name) {
+			known += r.part(list, region)
+		}
 	}
 	if total <= 0 || known <= own {
 		return own
 	}
-	return evenPart*own + (1-evenPart)*min(1, known)*mine/total
+	return evenPart*own + (1-evenPart)*min(1, known)*b.told/total
+}
+
+// part returns a region's part of all nodes.
+func (r *Rationer) part(list *lister.List, region string) float64 {
+	return float64(list.NodesIn(region)) / float64(list.Nodes())
 }
 
 // Hear takes another region's demand from one of its keepers.
--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -63,6 +64,21 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.keeperLocked(list, region, organisation)
+}
+
+// isKeeperLinked tells whether the keeper in a region can be reached. It must
+// be called with the lock held.
+func (r *Rationer) isKeeperLinked(region, organisation string) bool {
+	keeper, ok := r.keeperLocked(r.List(), region, organisation)
+	if !ok {
+		return false
+	}
+	linked, _ := r.State(keeper)
+	return linked
+}
+
+func (r *Rationer) keeperLocked(list *lister.List, region, organisation string) (netip.Addr, bool) {
 	now := time.Now()
 	var best netip.Addr
 	var highest uint64
--- /dev/null
+++ b/apricotd/internal/process/rationer/rationer_test.go
@@ -0,0 +1,175 @@
+package rationer
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/apricotd/version/resolver"
+	"apricotrudder.dev/wire/linkwire"
+)
+
+const (
+	testWindow    = 5 * time.Second
+	testOvershoot = 0.25
+	testSlack     = 20
+)
+
+type (
+	// fleet is the rationers of all nodes, without a network.
+	fleet struct {
+		nodes        []*Rationer
+		byAddress    map[netip.Addr]*Rationer
+		cut          map[netip.Addr]bool
+		organisation *resolver.Organisation
+		admitted     []time.Time
+	}
+
+	// exact is the naive way: one bucket that every request asks.
+	exact struct {
+		tokens float64
+		filled time.Time
+		count  int
+	}
+)
+
+func newFleet(rate, burst float64) *fleet {
+	f := &fleet{
+		byAddress:    make(map[netip.Addr]*Rationer),
+		cut:          make(map[netip.Addr]bool),
+		organisation: &resolver.Organisation{Name: "gold", Rate: rate, Burst: burst},
+	}
+	var servers []*lister.Server
+	for i := range 16 {
+		region := fmt.Sprintf("r%d", i%2)
+		a := netip.AddrFrom4([4]byte{10, byte(i % 2), 0, byte(i)})
+		servers = append(servers, &lister.Server{ID: fmt.Sprint(i), Region: region, Address: netip.AddrPortFrom(a, 1)})
+		r := &Rationer{
+			Self: a, Region: region, Overshoot: testOvershoot, Slack: testSlack, Window: testWindow,
+			Organisation: func(string) (*resolver.Organisation, bool) { return f.organisation, true },
+			Borrow: func(_ context.Context, keeper netip.Addr, b *linkwire.Borrow) (*linkwire.Grant, error) {
+				if f.cut[a] || f.cut[keeper] {
+					return nil, errors.New("cut off")
+				}
+				return f.byAddress[keeper].Lend(b.Organisation, b.Wanted), nil
+			},
+			State: func(other netip.Addr) (linked, silent bool) {
+				isCut := f.cut[a] || f.cut[other]
+				return !isCut, isCut
+			},
+		}
+		f.nodes = append(f.nodes, r)
+		f.byAddress[a] = r
+	}
+	list := lister.New(1, servers)
+	for _, r := range f.nodes {
+		r.List = func() *lister.List { return list }
+	}
+	return f
+}
+
+func (f *fleet) take(node int) {
+	if f.nodes[node].Take(context.Background(), f.organisation) == nil {
+		f.admitted = append(f.admitted, time.Now())
+	}
+}
+
+func (f *fleet) tell() {
+	for _, r := range f.nodes {
+		for _, n := range r.Notices() {
+			if !f.cut[r.Self] && !f.cut[n.Keeper] {
+				f.byAddress[n.Keeper].Hear(n.Usage)
+			}
+		}
+	}
+}
+
+func (e *exact) take(o *resolver.Organisation) {
+	now := time.Now()
+	if e.filled.IsZero() {
+		e.tokens = o.Burst
+	} else {
+		e.tokens = min(o.Burst, e.tokens+o.Rate*now.Sub(e.filled).Seconds())
+	}
+	e.filled = now
+	if e.tokens >= 1 {
+		e.tokens--
+		e.count++
+	}
+}
+
+func (f *fleet) worstWindow() int {
+	worst, first := 0, 0
+	for last, at := range f.admitted {
+		for at.Sub(f.admitted[first]) > testWindow {
+			first++
+		}
+		worst = max(worst, last-first+1)
+	}
+	return worst
+}
+
+// Against the exact bucket: demand that moves between nodes and regions and
+// jumps to several times the rate, with nodes cut off, overruns the rate by no
+// more than is agreed. While nobody is cut off, what one bucket would admit is
+// admitted but for a twentieth, the settling of the first buckets, and three
+// seconds of the rate for whatever part of the demand moves between regions.
+func TestAgainstOneBucket(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := float64(rapid.IntRange(10, 80).Draw(rt, "rate"))
+		demand := rapid.SliceOfN(rapid.Float64Range(0.3, 4), 6, 6).Draw(rt, "demand")
+		north := rapid.SliceOfN(rapid.Float64Range(0, 1), 6, 6).Draw(rt, "north")
+		cuts := rapid.IntRange(0, 4).Draw(rt, "cuts")
+		synctest.Test(t, func(*testing.T) {
+			f := newFleet(rate, rate)
+			one := &exact{}
+			for step := range demand {
+				if step == 3 {
+					for i := range cuts {
+						f.cut[f.nodes[i*3].Self] = true
+					}
+				}
+				f.drive(one, rate*demand[step], north[step])
+			}
+			limit := int((rate*testWindow.Seconds()+rate)*(1+testOvershoot) + testSlack)
+			if got := f.worstWindow(); got > limit {
+				rt.Errorf("admitted in one window: got %d, want at most %d", got, limit)
+			}
+			lost := 0.05*float64(one.count) + rate*settleTime.Seconds()
+			for step := 1; step < len(north); step++ {
+				lost += rate * 3 * math.Abs(north[step]-north[step-1])
+			}
+			if got, want := len(f.admitted), one.count-int(lost); cuts == 0 && got < want {
+				rt.Errorf("admitted: got %d, want at least %d, as one bucket admits %d", got, want, one.count)
+			}
+		})
+	})
+}
+
+// drive sends requests for four seconds, a part of them in the north.
+func (f *fleet) drive(one *exact, perSecond, north float64) {
+	const length = 4 * time.Second
+	gap := time.Duration(float64(time.Second) / perSecond)
+	told := time.Now()
+	for i, begun := 0, time.Now(); time.Since(begun) < length; i++ {
+		if time.Since(told) >= time.Second {
+			told = time.Now()
+			f.tell()
+		}
+		region := 1
+		if float64(i%100) < 100*north {
+			region = 0
+		}
+		f.take(region + 2*(i*5%8))
+		one.take(f.organisation)
+		time.Sleep(gap)
+	}
+}
