--- a/apricotd/internal/process/rationer/borrower.go
+++ b/apricotd/internal/process/rationer/borrower.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// exchange borrows for all that wait, until nobody does.
+// exchange borrows for all that wait, until nobody does or the keeper does not
+// answer. Those who wait then choose again.
 func (b *borrower) exchange(keeper netip.Addr) {
 	for {
 		b.mu.Lock()
@@ -71,17 +72,27 @@
 		cancel()
 		if err != nil {
 			b.rationer.avoid(keeper)
-			grant = nil
+			b.giveUp(waiting)
+			return
 		}
 		share(waiting, grant)
 	}
 }
 
+func (b *borrower) giveUp(waiting []chan *linkwire.Grant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, word := range append(waiting, b.waiting...) {
+		word <- nil
+	}
+	b.waiting, b.busy = nil, false
+}
+
 // share gives the tokens to those who have waited longest.
 func share(waiting []chan *linkwire.Grant, grant *linkwire.Grant) {
 	for i, word := range waiting {
 		switch {
-		case grant == nil || grant.Unknown:
+		case grant.Unknown:
 			word <- grant
 		case i < int(grant.Granted):
 			word <- &linkwire.Grant{Granted: 1}
--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -13,9 +13,10 @@
 	demandHalfLife = 2 * time.Second
 	// heardFor is how long a region's word counts.
 	heardFor = 4 * time.Second
-	// tolerated is the part of the agreed overrun that is used. The rest
-	// covers what is admitted while regions or keepers differ.
-	tolerated = 0.4
+	// tolerated is the part of the agreed overrun that goes into the depth of
+	// the buckets. What is left beside spareRate covers what is admitted while
+	// regions or keepers differ.
+	tolerated = 0.3
 	// evenPart of each share goes by the number of nodes, not by demand, so
 	// that a region's first requests find some rate.
 	evenPart = 0.1
@@ -47,11 +48,14 @@
 		waited  time.Time
 	}
 
-	// A report is what another region asks for.
+	// A report is what another region asks of one organisation's rate.
 	report struct {
-		at      time.Time
-		demands map[string]float64
+		at     time.Time
+		demand float64
 	}
+
+	// regionOrganisation is what a report is about.
+	regionOrganisation struct{ region, organisation string }
 )
 
 func (b *bucket) fill(rate, depth float64, now time.Time) {
@@ -104,10 +108,10 @@
 	return b
 }
 
-// share returns the own region's part of an organisation's rate. A region that
-// says nothing although its keeper can be reached asks for nothing. Computing
+// share returns the own region's part of an organisation's rate. Computing
 // with what the others were told keeps the shares of all regions from adding
-// up to more than one while demand rises.
+// up to more than one while demand rises. A region that says nothing counts by
+// its part of the nodes.
 func (r *Rationer) share(name string, b *bucket, now time.Time) float64 {
 	list := r.List()
 	if list == nil || list.Nodes() == 0 {
@@ -119,13 +123,9 @@
 	}
 	known, total := own, b.told
 	for _, region := range list.Regions() {
-		if region == r.Region {
-			continue
-		}
-		if report := r.heard[region]; report != nil && now.Sub(report.at) < heardFor {
-			total += report.demands[name]
-			known += r.part(list, region)
-		} else if r.isKeeperLinked(region, name) {
+		report := r.heard[regionOrganisation{region, name}]
+		if region != r.Region && report != nil && now.Sub(report.at) < heardFor {
+			total += report.demand
 			known += r.part(list, region)
 		}
 	}
@@ -140,22 +140,44 @@
 	return float64(list.NodesIn(region)) / float64(list.Nodes())
 }
 
-// Hear takes another region's demand from one of its keepers.
-func (r *Rationer) Hear(u *linkwire.Usage) {
+// Hear takes another region's demand from one of its keepers. It returns the
+// own region's for the same organisations, as far as this node keeps their
+// buckets, or nil.
+func (r *Rationer) Hear(u *linkwire.Usage) *linkwire.Usage {
+	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.heard == nil {
-		r.heard = make(map[string]*report)
+		r.heard = make(map[regionOrganisation]*report)
 	}
-	old := r.heard[u.Region]
-	if old == nil {
-		old = &report{demands: make(map[string]float64)}
-		r.heard[u.Region] = old
+	for _, d := range u.Demands {
+		r.heard[regionOrganisation{u.Region, d.Organisation}] = &report{at: now, demand: float64(d.Rate)}
+	}
+	r.mu.Unlock()
+	if u.Reply {
+		return nil
 	}
-	old.at = time.Now()
+	reply := &linkwire.Usage{Region: r.Region, Reply: true}
 	for _, d := range u.Demands {
-		old.demands[d.Organisation] = float64(d.Rate)
+		if keeper, ok := r.keeper(d.Organisation); ok && keeper == r.Self {
+			reply.Demands = append(reply.Demands, &linkwire.Demand{Organisation: d.Organisation, Rate: float32(r.tell(d.Organisation, now))})
+		}
+	}
+	if len(reply.Demands) == 0 {
+		return nil
+	}
+	return reply
+}
+
+// tell returns the demand of a bucket and notes that others know it now.
+func (r *Rationer) tell(name string, now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.buckets[name]
+	if b == nil {
+		return 0
 	}
+	b.told = b.demandAt(now)
+	return b.told
 }
 
 func halved(age, halfLife time.Duration) float64 {
--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -1,14 +1,20 @@
 package rationer
 
 import (
+	"cmp"
 	"hash/fnv"
 	"net/netip"
+	"slices"
 	"time"
 
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
 )
 
+// keepersTold is the number of nodes in another region that hear of demand:
+// the keeper, and those that may have taken over from it.
+const keepersTold = 3
+
 // A Notice is what the keeper of another region is to hear.
 type Notice struct {
 	Keeper netip.Addr
@@ -16,14 +22,15 @@
 }
 
 // keeper returns who keeps an organisation's bucket in the own region. A node
-// that reaches less than half of its region keeps none.
+// that has links to less than half of its region, or does not hear it, keeps
+// none.
 func (r *Rationer) keeper(organisation string) (netip.Addr, bool) {
 	a, ok := r.keeperIn(r.Region, organisation)
 	if !ok || a != r.Self {
 		return a, ok
 	}
 	linked, _, others := r.count()
-	return a, 2*linked >= others
+	return a, others == 0 || 2*linked >= others && r.Silence() < keeperSilence
 }
 
 // answering returns the part of the region's nodes that this node need not
@@ -62,35 +69,28 @@
 	if list == nil {
 		return netip.Addr{}, false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.keeperLocked(list, region, organisation)
-}
-
-// isKeeperLinked tells whether the keeper in a region can be reached. It must
-// be called with the lock held.
-func (r *Rationer) isKeeperLinked(region, organisation string) bool {
-	keeper, ok := r.keeperLocked(r.List(), region, organisation)
-	if !ok {
-		return false
+	best := r.candidates(list, region, organisation, 1)
+	if len(best) == 0 {
+		return netip.Addr{}, false
 	}
-	linked, _ := r.State(keeper)
-	return linked
+	return best[0], true
 }
 
-func (r *Rationer) keeperLocked(list *lister.List, region, organisation string) (netip.Addr, bool) {
+// candidates returns the first nodes in the order of keepers.
+func (r *Rationer) candidates(list *lister.List, region, organisation string, n int) []netip.Addr {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := time.Now()
-	var best netip.Addr
-	var highest uint64
+	var out []netip.Addr
 	for a := range list.Addresses {
-		if list.Region(a) != region || now.Before(r.avoided[a]) {
-			continue
-		}
-		if h := weight(a, organisation); !best.IsValid() || h > highest {
-			best, highest = a, h
+		if list.Region(a) == region && !now.Before(r.avoided[a].until) {
+			out = append(out, a)
 		}
 	}
-	return best, best.IsValid()
+	slices.SortFunc(out, func(a, b netip.Addr) int {
+		return cmp.Compare(weight(b, organisation), weight(a, organisation))
+	})
+	return out[:min(n, len(out))]
 }
 
 func weight(a netip.Addr, organisation string) uint64 {
@@ -110,9 +110,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.avoided == nil {
-		r.avoided = make(map[netip.Addr]time.Time)
+		r.avoided = make(map[netip.Addr]avoidance)
+	}
+	old, now := r.avoided[a], time.Now()
+	span := avoidFor
+	if now.Sub(old.until) < maxAvoid {
+		span = min(maxAvoid, max(avoidFor, 2*old.span))
 	}
-	r.avoided[a] = time.Now().Add(avoidFor)
+	r.avoided[a] = avoidance{until: now.Add(span), span: span}
 }
 
 // Notices returns the demand of the buckets that this node keeps, sorted by
@@ -129,14 +134,12 @@
 			continue
 		}
 		for _, d := range demands {
-			keeper, ok := r.keeperIn(region, d.Organisation)
-			if !ok {
-				continue
-			}
-			if byKeeper[keeper] == nil {
-				byKeeper[keeper] = &linkwire.Usage{Region: r.Region}
+			for _, keeper := range r.candidates(list, region, d.Organisation, keepersTold) {
+				if byKeeper[keeper] == nil {
+					byKeeper[keeper] = &linkwire.Usage{Region: r.Region}
+				}
+				byKeeper[keeper].Demands = append(byKeeper[keeper].Demands, d)
 			}
-			byKeeper[keeper].Demands = append(byKeeper[keeper].Demands, d)
 		}
 	}
 	out := make([]Notice, 0, len(byKeeper))
--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -38,8 +38,20 @@
 const (
 	// borrowTimeout bounds one exchange with a keeper; it lies in the region.
 	borrowTimeout = 100 * time.Millisecond
-	// avoidFor is how long a keeper that did not answer is passed over.
+	// keeperSilence is the silence of its region from which a node keeps no
+	// bucket, since it may be cut off. Nodes are heard several times a second.
+	keeperSilence = 1200 * time.Millisecond
+	// keepersAsked bounds the keepers that are asked for one request. One that
+	// does not answer is passed over by the next question.
+	keepersAsked = 2
+	// avoidFor is how long a keeper that did not answer is passed over; it
+	// doubles with each further time, up to maxAvoid.
 	avoidFor = time.Second
+	maxAvoid = 8 * time.Second
+	// spareRate is the part of the agreed overshoot by which buckets fill faster
+	// than the rate, so that requests within the rate that come unevenly to the
+	// regions are not refused.
+	spareRate = 0.35
 	// fallbackPart of its equal part is what a node admits that reaches no
 	// keeper, since the keepers take seconds to notice that it is cut off and
 	// grant its part to others until then.
@@ -62,6 +74,8 @@
 		// State tells whether a node has a link, and else whether it gives no
 		// answer at all.
 		State func(netip.Addr) (linked, silent bool)
+		// Silence returns for how long no node of the region has been heard.
+		Silence func() time.Duration
 		// Overshoot and Slack are what the fleet may admit within one Window
 		// beyond what the rate and the burst allow: a fraction of that, and
 		// requests besides.
@@ -73,8 +87,14 @@
 		buckets   map[string]*bucket   // kept for the region
 		fallbacks map[string]*bucket   // of this node alone
 		borrowers map[string]*borrower // by organisation
-		heard     map[string]*report   // by region
-		avoided   map[netip.Addr]time.Time
+		heard     map[regionOrganisation]*report
+		avoided   map[netip.Addr]avoidance
+	}
+
+	// An avoidance passes over a keeper.
+	avoidance struct {
+		until time.Time
+		span  time.Duration
 	}
 
 	// An Excess says why a request is not admitted.
@@ -92,18 +112,19 @@
 	if o.Rate <= 0 {
 		return nil
 	}
-	keeper, ok := r.keeper(o.Name)
-	if !ok {
-		return r.takeFallback(o)
-	}
-	if keeper == r.Self {
-		return r.excess(o, keeper.String(), r.Lend(o.Name, 1))
-	}
-	grant, ok := r.borrower(o.Name).take(ctx, keeper)
-	if !ok {
-		return r.takeFallback(o)
+	for range keepersAsked {
+		keeper, ok := r.keeper(o.Name)
+		if !ok {
+			break
+		}
+		if keeper == r.Self {
+			return r.excess(o, keeper.String(), r.Lend(o.Name, 1))
+		}
+		if grant, ok := r.borrower(o.Name).take(ctx, keeper); ok {
+			return r.excess(o, keeper.String(), grant)
+		}
 	}
-	return r.excess(o, keeper.String(), grant)
+	return r.takeFallback(o)
 }
 
 func (r *Rationer) excess(o *resolver.Organisation, keeper string, g *linkwire.Grant) *Excess {
@@ -130,7 +151,7 @@
 	b := r.bucket(name)
 	b.ask(float64(wanted), now)
 	share := r.share(name, b, now) * r.answering()
-	rate := o.Rate * share
+	rate := o.Rate * (1 + spareRate*r.Overshoot) * share
 	b.fill(rate, r.depth(o)*share, now)
 	granted := b.take(wanted)
 	g := &linkwire.Grant{Granted: granted}
--- a/apricotd/internal/process/rationer/rationer_test.go
+++ b/apricotd/internal/process/rationer/rationer_test.go
@@ -61,6 +61,12 @@
 				}
 				return f.byAddress[keeper].Lend(b.Organisation, b.Wanted), nil
 			},
+			Silence: func() time.Duration {
+				if f.cut[a] {
+					return time.Hour
+				}
+				return 0
+			},
 			State: func(other netip.Addr) (linked, silent bool) {
 				isCut := f.cut[a] || f.cut[other]
 				return !isCut, isCut
@@ -86,7 +92,9 @@
 	for _, r := range f.nodes {
 		for _, n := range r.Notices() {
 			if !f.cut[r.Self] && !f.cut[n.Keeper] {
-				f.byAddress[n.Keeper].Hear(n.Usage)
+				if reply := f.byAddress[n.Keeper].Hear(n.Usage); reply != nil {
+					r.Hear(reply)
+				}
 			}
 		}
 	}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -195,6 +195,7 @@
 		Organisation: n.organisation,
 		Borrow:       n.linker.Borrow,
 		State:        n.linker.State,
+		Silence:      n.readers.silence,
 		Overshoot:    s.Rates.Overshoot,
 		Slack:        s.Rates.Slack,
 		Window:       time.Duration(s.Rates.Window),
--- a/apricotd/mesher/overload_test.go
+++ b/apricotd/mesher/overload_test.go
@@ -78,7 +78,9 @@
 		}
 	}
 	wg.Go(func() { keep(searches, func() string { return f.get("shop.example", "/search/1") }, search) })
-	wg.Go(func() { keep(orders, func() string { return f.message("POST", "shop.example", "/order/1", "x") }, order) })
+	wg.Go(func() {
+		keep(orders, func() string { return f.message("POST", "shop.example", "/order/1", "x") }, order)
+	})
 	wg.Wait()
 	return search, order
 }
--- a/apricotd/mesher/readers.go
+++ b/apricotd/mesher/readers.go
@@ -36,16 +36,28 @@
 
 	mu   sync.Mutex
 	last time.Time // when a reader last showed that it is served
+	any  time.Time // when any node of the region was last heard
 }
 
-// heard notes that a reader is served.
-func (r *readers) heard(a netip.Addr) {
+// heard notes a beat, and whether its sender is a reader that is served.
+func (r *readers) heard(a netip.Addr, served bool) {
 	if list := r.List(); list == nil || list.Region(a) != r.Region {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.last = time.Now()
+	r.any = time.Now()
+	if served {
+		r.last = r.any
+	}
+}
+
+// silence returns for how long no node of the region has been heard. Readers
+// beat all the time, so a long silence means that this node is cut off.
+func (r *readers) silence() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.any)
 }
 
 // isReader tells whether this node reads the store now.
@@ -90,7 +102,8 @@
 	return h.Sum64()
 }
 
-// beatAsReader shows the region that the store answers this node.
+// beatAsReader shows the region that this node reads the store, and whether
+// the store answers it.
 func (n *Node) beatAsReader(ctx context.Context) {
 	ticker := time.NewTicker(readerBeat)
 	defer ticker.Stop()
@@ -100,7 +113,8 @@
 			return
 		case <-ticker.C:
 		}
-		if beat := n.beat(); beat.Served {
+		if n.readers.isReader() {
+			beat := n.beat()
 			n.linker.Broadcast(func() *linkwire.Frame {
 				return &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: beat}}
 			}, n.isNear)
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -44,7 +44,9 @@
 			n.Log.WithError(err).WithField("peer", l.Peer).Error("state of a peer rejected")
 		}
 	case *linkwire.Frame_Usage:
-		n.rationer.Hear(kind.Usage)
+		if reply := n.rationer.Hear(kind.Usage); reply != nil {
+			l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Usage{Usage: reply}})
+		}
 	}
 }
 
@@ -52,9 +54,7 @@
 	if b.Reply {
 		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: n.beat()}})
 	}
-	if b.Served {
-		n.readers.heard(l.Peer)
-	}
+	n.readers.heard(l.Peer, b.Served)
 	if b.Vouched != "" {
 		n.keeper.Vouch(l.Peer, b.Vouched)
 	}
