--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -12,7 +12,7 @@
 //	l := &linker.Linker{Port: 7000, Serve: serve, Beat: beat, Receive: receive, Log: log}
 //	go l.Run(ctx, listener)
 //	result, err := l.Exchange(ctx, peer, run)
-//	l.Announce()
+//	l.Announce(nil)
 //
 // A link costs two goroutines at each end and its buffers. An idle link sends
 // nothing; the operating system's keep-alive probes find a peer that has gone.
@@ -216,11 +216,13 @@
 	}
 }
 
-// Announce sends this node's state over all links.
-func (l *Linker) Announce() {
+// Announce sends this node's state to each peer that has a link and for which
+// accept, unless nil, returns true.
+func (l *Linker) Announce(accept func(netip.Addr) bool) {
+	beat := l.Beat()
 	l.Broadcast(func() *linkwire.Frame {
-		return &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: l.Beat()}}
-	}, nil)
+		return &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: beat}}
+	}, accept)
 }
 
 // Broadcast sends a frame to each peer that has a link and for which accept,
--- a/apricotd/internal/process/budgeter/budgeter.go
+++ b/apricotd/internal/process/budgeter/budgeter.go
@@ -9,7 +9,7 @@
 //
 //	b := &budgeter.Budgeter{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50, Nodes: nodes}
 //	b.Count(pool)             // a caller's request
-//	if b.Spend(pool) { ... }  // one request may be sent again
+//	if b.Spend(pool, isCall) { ... }  // one request may be sent again
 package budgeter
 
 import (
@@ -23,6 +23,15 @@
 	// safety is the part of the budget that is used. The rest covers the
 	// calls that a repeated request makes again, which count as repeats too.
 	safety = 0.6
+	// callShare is the part of the budget that calls of backend servers may
+	// use. A call is one of several that its request needs, so a repeat of it
+	// saves less than one of a caller's request.
+	callShare = 0.5
+	// refusingFrom is the part of requests that a pool turns away from which
+	// calls are not repeated at all: they would need luck several times.
+	refusingFrom = 0.25
+	// outcomeGain is the weight of one outcome in the mean.
+	outcomeGain = 0.02
 )
 
 type (
@@ -43,6 +52,7 @@
 	pool struct {
 		requests counter
 		repeats  counter
+		refusing float64 // mean of requests that were turned away
 	}
 
 	// A counter counts events of the last window.
@@ -59,13 +69,29 @@
 	b.pool(name).requests.add(b.slot())
 }
 
+// Saw records whether a backend server of the pool turned a request away.
+func (b *Budgeter) Saw(name string, refused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sample := 0.0
+	if refused {
+		sample = 1
+	}
+	p := b.pool(name)
+	p.refusing += (sample - p.refusing) * outcomeGain
+}
+
 // Spend records a repeat if the budget has room for it.
-func (b *Budgeter) Spend(name string) bool {
+func (b *Budgeter) Spend(name string, isCall bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.slot()
 	p := b.pool(name)
-	if float64(p.repeats.sum(slot)+1) > b.limit(p, slot) {
+	limit := b.limit(p, slot)
+	if isCall {
+		limit *= callShare
+	}
+	if float64(p.repeats.sum(slot)+1) > limit || isCall && p.refusing > refusingFrom {
 		return false
 	}
 	p.repeats.add(slot)
--- a/apricotd/internal/process/budgeter/budgeter_test.go
+++ b/apricotd/internal/process/budgeter/budgeter_test.go
@@ -27,7 +27,7 @@
 					fleet[(i*7+step)%nodes].Count("p")
 				}
 				for i := range 4 * n {
-					if fleet[(i+step)%nodes].Spend("p") {
+					if fleet[(i+step)%nodes].Spend("p", i%2 == 0) {
 						granted++
 					}
 				}
--- a/apricotd/internal/process/chooser/chooser.go
+++ b/apricotd/internal/process/chooser/chooser.go
@@ -94,6 +94,7 @@
 
 		mu      sync.Mutex
 		records map[string]*record // by server id
+		leaving map[netip.Addr]time.Time
 	}
 
 	// A Choice is one chosen server.
@@ -183,6 +184,16 @@
 	}
 }
 
+// Leave passes over the server of a node that says that it stops.
+func (c *Chooser) Leave(node netip.Addr) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving == nil {
+		c.leaving = make(map[netip.Addr]time.Time)
+	}
+	c.leaving[node] = time.Now().Add(leavingFor)
+}
+
 // Forget drops the records of servers that are no longer listed.
 func (c *Chooser) Forget(list *lister.List) {
 	c.mu.Lock()
@@ -198,6 +209,12 @@
 	if r := c.records[s.ID]; r != nil && now.Before(r.avoidUntil) {
 		return false
 	}
+	if until, ok := c.leaving[s.Address.Addr()]; ok {
+		if now.Before(until) {
+			return false
+		}
+		delete(c.leaving, s.Address.Addr())
+	}
 	return c.Silence == nil || c.Silence(s.Address.Addr()) < silenceLimit
 }
 
--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -22,44 +22,29 @@
 }
 
 // keeper returns who keeps an organisation's bucket in the own region. A node
-// that has links to less than half of its region, or does not hear it, keeps
-// none.
+// that does not hear its region keeps none.
 func (r *Rationer) keeper(organisation string) (netip.Addr, bool) {
 	a, ok := r.keeperIn(r.Region, organisation)
 	if !ok || a != r.Self {
 		return a, ok
 	}
-	linked, _, others := r.count()
-	return a, others == 0 || 2*linked >= others && r.Silence() < keeperSilence
+	return a, r.List().NodesIn(r.Region) == 1 || r.Silence() < keeperSilence
 }
 
 // answering returns the part of the region's nodes that this node need not
 // take for cut off. The others admit their own equal parts.
 func (r *Rationer) answering() float64 {
-	_, silent, others := r.count()
-	return 1 - float64(silent)/float64(others+1)
-}
-
-// count counts the other nodes of the region.
-func (r *Rationer) count() (linked, silent, others int) {
 	list := r.List()
-	if list == nil {
-		return 0, 0, 0
+	if list == nil || list.NodesIn(r.Region) == 0 {
+		return 1
 	}
+	silent := 0
 	for a := range list.Addresses {
-		if a == r.Self || list.Region(a) != r.Region {
-			continue
-		}
-		others++
-		isLinked, isSilent := r.State(a)
-		if isLinked {
-			linked++
-		}
-		if isSilent {
+		if a != r.Self && list.Region(a) == r.Region && r.IsSilent(a) {
 			silent++
 		}
 	}
-	return linked, silent, others
+	return 1 - float64(silent)/float64(list.NodesIn(r.Region))
 }
 
 // keeperIn returns the node of a region with the highest hash among those that
--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -71,9 +71,8 @@
 		Organisation func(name string) (*resolver.Organisation, bool)
 		// Borrow asks a keeper for tokens.
 		Borrow func(ctx context.Context, keeper netip.Addr, b *linkwire.Borrow) (*linkwire.Grant, error)
-		// State tells whether a node has a link, and else whether it gives no
-		// answer at all.
-		State func(netip.Addr) (linked, silent bool)
+		// IsSilent tells whether a node gives no answer at all.
+		IsSilent func(netip.Addr) bool
 		// Silence returns for how long no node of the region has been heard.
 		Silence func() time.Duration
 		// Overshoot and Slack are what the fleet may admit within one Window
--- a/apricotd/internal/process/rationer/rationer_test.go
+++ b/apricotd/internal/process/rationer/rationer_test.go
@@ -67,10 +67,7 @@
 				}
 				return 0
 			},
-			State: func(other netip.Addr) (linked, silent bool) {
-				isCut := f.cut[a] || f.cut[other]
-				return !isCut, isCut
-			},
+			IsSilent: func(other netip.Addr) bool { return f.cut[a] || f.cut[other] },
 		}
 		f.nodes = append(f.nodes, r)
 		f.byAddress[a] = r
--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -52,7 +52,7 @@
 	if rq.arrivals == 0 {
 		return true
 	}
-	return rq.arrivals < rq.route.MaxAttempts && d.Budget.Spend(rq.pool)
+	return rq.arrivals < rq.route.MaxAttempts && d.Budget.Spend(rq.pool, rq.isCall)
 }
 
 func (d *Director) attempt(ctx context.Context, rq *request, c *chooser.Choice) outcome {
@@ -136,12 +136,14 @@
 	report := chooser.Report{Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots())}
 	if answer := result.GetAnswer(); answer != nil {
 		rq.arrivals++
+		d.Budget.Saw(rq.pool, false)
 		report.Result = chooser.Served
 		return answered{answer}, report
 	}
 	r := result.GetRefusal()
 	if r.GetArrived() {
 		rq.arrivals++
+		d.Budget.Saw(rq.pool, r.GetNotRun())
 	}
 	report.Result = resultOf(r)
 	if !r.GetNotRun() {
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -16,6 +16,8 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -92,6 +94,7 @@
 		Metrics *metrics.Set
 
 		weigher weigher
+		returns throttler.Returns
 		closed  atomic.Bool
 	}
 
@@ -171,16 +174,31 @@
 		return nil
 	}
 	holds, pressure := d.Throttler.Holds(rq.route.Name, rq.rank, tables.LowestRank())
-	if !holds {
+	fingerprint := rq.fingerprint()
+	if !holds || d.returns.IsBack(fingerprint) {
 		return nil
 	}
+	wait := spread(throttleWait)
+	d.returns.Expect(fingerprint, wait)
 	return refused{
 		reason:     reasonThrottled,
 		detail:     fmt.Sprintf("pressure %.2f on the route's tree", pressure),
-		retryAfter: throttleWait,
+		retryAfter: wait,
+		spread:     true,
 	}
 }
 
+// fingerprint stands for what a caller asks for, whichever attempt it is.
+func (rq *request) fingerprint() uint64 {
+	h := fnv.New64a()
+	if o := rq.organisation; o != nil {
+		_, _ = io.WriteString(h, o.Name)
+	}
+	_, _ = io.WriteString(h, "\x00"+rq.Method+" "+rq.Host+rq.Target+"\x00")
+	_, _ = h.Write(rq.Body)
+	return h.Sum64()
+}
+
 // Downstream returns the pressure of what the calls of a route lead to, as the
 // own backend server makes them.
 func (d *Director) Downstream(route string) float64 {
--- a/apricotd/internal/request/director/outcome.go
+++ b/apricotd/internal/request/director/outcome.go
@@ -29,8 +29,7 @@
 const (
 	// defaultWait is stated where nothing better is known.
 	defaultWait = 300 * time.Millisecond
-	// waitSpread is the largest factor by which a stated wait is stretched,
-	// so that refused callers do not return at the same moment.
+	// waitSpread is the largest part of a stated wait by which it is stretched.
 	waitSpread = 0.5
 )
 
@@ -46,6 +45,7 @@
 		reason     string
 		detail     string
 		retryAfter time.Duration
+		spread     bool // retryAfter is spread already
 		mayHelp    bool // another server may accept the request
 	}
 
@@ -96,12 +96,20 @@
 	if wait <= 0 {
 		wait = defaultWait
 	}
+	if !o.spread {
+		wait = spread(wait)
+	}
 	response := Refuse(status, o.reason)
-	seconds := wait.Seconds() * (1 + waitSpread*rand.Float64())
-	response.Fields = append(response.Fields, parser.Field{Name: "Retry-After", Value: strconv.FormatFloat(seconds, 'f', 2, 64)})
+	response.Fields = append(response.Fields, parser.Field{Name: "Retry-After", Value: strconv.FormatFloat(wait.Seconds(), 'f', 2, 64)})
 	return response
 }
 
+// spread stretches a wait at random, so that refused callers do not return at
+// the same moment.
+func spread(wait time.Duration) time.Duration {
+	return wait + time.Duration(waitSpread*rand.Float64()*float64(wait))
+}
+
 // Refuse returns an answer of the node's own.
 func Refuse(status int, reason string) *acceptor.Response {
 	return &acceptor.Response{
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -55,6 +55,9 @@
 	// unreachableWait is what callers are asked to wait for a server that
 	// does not accept connections.
 	unreachableWait = 500 * time.Millisecond
+	// shedWait is what callers are asked to wait after the server itself turned
+	// a request away: the next may be accepted, and targets are short.
+	shedWait = 50 * time.Millisecond
 	// serviceGain is the weight of one answer in the mean time of service.
 	serviceGain = 0.1
 )
@@ -221,7 +224,8 @@
 		return arrived(refuse(Shed, "another backend server has the address", unreachableWait)), renamed
 	}
 	if a.Fields.Get(p.Names.NotRun) != "" {
-		return arrived(refuse(Shed, fmt.Sprintf("the backend server answered %d", a.Status), retryAfter(a.Fields))), false
+		wait := max(shedWait, retryAfter(a.Fields))
+		return arrived(refuse(Shed, fmt.Sprintf("the backend server answered %d", a.Status), wait)), false
 	}
 	fields := a.Fields.EndToEnd(nil)
 	wire := make([]*linkwire.Field, len(fields))
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -194,11 +194,14 @@
 		List:         n.keeper.List,
 		Organisation: n.organisation,
 		Borrow:       n.linker.Borrow,
-		State:        n.linker.State,
-		Silence:      n.readers.silence,
-		Overshoot:    s.Rates.Overshoot,
-		Slack:        s.Rates.Slack,
-		Window:       time.Duration(s.Rates.Window),
+		IsSilent: func(a netip.Addr) bool {
+			_, silent := n.linker.State(a)
+			return silent
+		},
+		Silence:   n.readers.silence,
+		Overshoot: s.Rates.Overshoot,
+		Slack:     s.Rates.Slack,
+		Window:    time.Duration(s.Rates.Window),
 	}
 	n.buildDirector()
 	n.acceptor = &acceptor.Acceptor{Limits: n.limits, Serve: n.director.Serve, Refuse: director.Refuse, Log: n.Log}
@@ -286,13 +289,9 @@
 	}
 	if list := n.keeper.List(); list != nil {
 		n.chooser.Forget(list)
-		for a := range list.Addresses {
-			if a != n.Settings.Listen.Links.Addr() {
-				n.linker.Connect(a)
-			}
-		}
 	}
-	n.linker.Announce()
+	n.connectContacts()
+	n.announce()
 }
 
 // open starts all servers, so that a node either starts whole or fails with
@@ -345,7 +344,7 @@
 	n.leaving.Store(true)
 	n.performer.Leave()
 	n.acceptor.Leave()
-	n.linker.Announce()
+	n.linker.Announce(nil)
 	end := begun.Add(time.Duration(n.Settings.Limits.StopWithin) - stopMargin)
 	time.Sleep(min(callersLeave, time.Until(end)))
 	n.director.Close()
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -147,7 +147,7 @@
 		}
 		n.voucher.set(id)
 		n.keeper.Vouch(n.Settings.Listen.Links.Addr(), id)
-		n.linker.Announce()
+		n.linker.Announce(nil)
 	}
 }
 
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -29,6 +29,7 @@
 		Leaving: n.leaving.Load(),
 		Served:  n.readers.isReader() && n.keeper.IsServed(),
 		Vouched: n.voucher.current(),
+		Region:  n.Settings.Region,
 	}
 }
 
@@ -54,7 +55,10 @@
 	if b.Reply {
 		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: n.beat()}})
 	}
-	n.readers.heard(l.Peer, b.Served)
+	n.readers.heard(l.Peer, b.Region, b.Served)
+	if b.Leaving {
+		n.chooser.Leave(l.Peer)
+	}
 	if b.Vouched != "" {
 		n.keeper.Vouch(l.Peer, b.Vouched)
 	}
@@ -146,8 +150,8 @@
 	}
 }
 
-// isNear tells whether a node is in the own region.
+// isNear tells whether a node is in the own region. A node whose backend
+// server is not listed has said so itself.
 func (n *Node) isNear(a netip.Addr) bool {
-	list := n.keeper.List()
-	return list != nil && list.Region(a) == n.Settings.Region
+	return n.readers.regionOf(a) == n.Settings.Region
 }
