--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -34,9 +34,11 @@
 	idleOrganisation = 10 * time.Second
 	// reserveFraction of the limit is kept for the critical class.
 	reserveFraction = 0.1
-	// criticalQueue times the limit may wait in the critical class; of the
+	// criticalQueue times the limit may wait in the critical class, and
+	// aboveQueue times in classes above it, whose work must end soon; of the
 	// others, as many as the limit.
 	criticalQueue = 8
+	aboveQueue    = 2
 	minRetryAfter = 200 * time.Millisecond
 )
 
--- a/apricotd/internal/process/admitter/queue.go
+++ b/apricotd/internal/process/admitter/queue.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	last := a.worst(now)
-	if a.waiters[last].Class == checker.ClassCritical && w.Class == checker.ClassCritical && len(a.waiters) < criticalQueue*max(a.limit, 1) {
+	if a.waiters[last].Class >= w.Class && len(a.waiters) < queueTimes(w.Class)*max(a.limit, 1) {
 		a.waiters = append(a.waiters, w)
 		return nil
 	}
@@ -29,6 +29,17 @@
 	return nil
 }
 
+// queueTimes returns how many times the limit may wait in a class.
+func queueTimes(c checker.Class) int {
+	switch {
+	case c > checker.ClassCritical:
+		return aboveQueue
+	case c == checker.ClassCritical:
+		return criticalQueue
+	}
+	return 1
+}
+
 // fill gives free slots to waiters in order of importance.
 func (a *Admitter) fill() {
 	now := time.Now()
--- a/apricotd/internal/process/chooser/chooser.go
+++ b/apricotd/internal/process/chooser/chooser.go
@@ -45,8 +45,11 @@
 	failureHalfLife = 2 * time.Second
 	// reportHalfLife is how fast a report of load loses its meaning.
 	reportHalfLife = 500 * time.Millisecond
-	// fullFor is how long a server that had no room is passed over.
-	fullFor = 60 * time.Millisecond
+	// fullFor is how long a server that had no room counts as fuller by
+	// fullExtra. It is not passed over: where all are full, waiting at one of
+	// them is better than failing.
+	fullFor   = 60 * time.Millisecond
+	fullExtra = 0.3
 	// unreachedFor is how long a node that could not be reached is passed over.
 	unreachedFor = 500 * time.Millisecond
 	// leavingFor is how long the statement of a node that it leaves counts.
@@ -112,6 +115,7 @@
 		failures   float64 // mean of failures, 0 to 1
 		failedAt   time.Time
 		avoidUntil time.Time
+		fullUntil  time.Time
 	}
 )
 
@@ -176,7 +180,7 @@
 	case Shed, Failed:
 		rec.fail(1, now)
 	case Full:
-		rec.avoidUntil = now.Add(jitter(fullFor))
+		rec.fullUntil = now.Add(jitter(fullFor))
 	case Unreached:
 		rec.avoidUntil = now.Add(jitter(unreachedFor))
 	case Leaving:
@@ -246,8 +250,11 @@
 		slots *= coldShare
 	}
 	load := float64(r.load) * decay(now.Sub(r.reportedAt), reportHalfLife)
-	load = max(load, float64(r.sent))
-	return load/slots + failureWeight*r.failures*decay(now.Sub(r.failedAt), failureHalfLife)
+	fill := max(load, float64(r.sent))/slots + failureWeight*r.failures*decay(now.Sub(r.failedAt), failureHalfLife)
+	if now.Before(r.fullUntil) {
+		fill += fullExtra
+	}
+	return fill
 }
 
 func (c *Chooser) record(id string) *record {
