--- a/apricotd/internal/process/chooser/chooser.go
+++ b/apricotd/internal/process/chooser/chooser.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	c := &chooser.Chooser{DataCentre: "ba-petrzalka", Region: "bratislava"}
-//	choice, ok := c.Choose(list.Pool("licensing"), tried)
+//	choice, ok := c.Choose(list.Pool("licensing"), tried, isCall)
 //	defer choice.Done(chooser.Report{...})
 //
 // A choice looks at every server of the pool. The state is one record for each
@@ -45,9 +45,9 @@
 	failureHalfLife = 2 * time.Second
 	// reportHalfLife is how fast a report of load loses its meaning.
 	reportHalfLife = 500 * time.Millisecond
-	// fullFor is how long a server that had no room counts as fuller by
-	// fullExtra. It is not passed over: where all are full, waiting at one of
-	// them is better than failing.
+	// fullFor is how long a server that had no room is passed over. For a call
+	// of a backend server it only counts as fuller by fullExtra: where all are
+	// full, waiting is better than failing what was begun.
 	fullFor   = 60 * time.Millisecond
 	fullExtra = 0.3
 	// unreachedFor is how long a node that could not be reached is passed over.
@@ -119,9 +119,9 @@
 	}
 )
 
-// Choose picks a server that is not among those tried. It reports false if
-// there is none.
-func (c *Chooser) Choose(servers []*lister.Server, tried map[string]bool) (*Choice, bool) {
+// Choose picks a server that is not among those tried, for a caller's request
+// or for a call of a backend server. It reports false if there is none.
+func (c *Chooser) Choose(servers []*lister.Server, tried map[string]bool, isCall bool) (*Choice, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -131,7 +131,7 @@
 		fill[d] = math.Inf(1)
 	}
 	for _, s := range servers {
-		if s.State != lister.Ready || tried[s.ID] || !c.isUsable(s, now) {
+		if s.State != lister.Ready || tried[s.ID] || !c.isUsable(s, isCall, now) {
 			continue
 		}
 		d := c.distance(s)
@@ -209,8 +209,8 @@
 	}
 }
 
-func (c *Chooser) isUsable(s *lister.Server, now time.Time) bool {
-	if r := c.records[s.ID]; r != nil && now.Before(r.avoidUntil) {
+func (c *Chooser) isUsable(s *lister.Server, isCall bool, now time.Time) bool {
+	if r := c.records[s.ID]; r != nil && (now.Before(r.avoidUntil) || !isCall && now.Before(r.fullUntil)) {
 		return false
 	}
 	if until, ok := c.leaving[s.Address.Addr()]; ok {
--- a/apricotd/internal/process/chooser/chooser_test.go
+++ b/apricotd/internal/process/chooser/chooser_test.go
@@ -20,7 +20,7 @@
 func counts(c *Chooser, list []*lister.Server, n int, hold bool, report func(id string) Report) map[string]int {
 	out := make(map[string]int)
 	for range n {
-		choice, ok := c.Choose(list, nil)
+		choice, ok := c.Choose(list, nil, false)
 		if !ok {
 			continue
 		}
@@ -86,7 +86,7 @@
 		if got := counts(c, list, 10, true, nil); got["n1"] != 0 {
 			t.Errorf("requests at the leaving server: got %d, want 0", got["n1"])
 		}
-		if _, ok := c.Choose(list, map[string]bool{"1": true}); ok {
+		if _, ok := c.Choose(list, map[string]bool{"1": true}, false); ok {
 			t.Error("choice among servers that leave or were tried: got one, want none")
 		}
 	})
--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -21,7 +21,7 @@
 		if !time.Now().Before(rq.deadline) {
 			return last
 		}
-		choice, ok := d.Chooser.Choose(d.List().Pool(rq.pool), tried)
+		choice, ok := d.Chooser.Choose(d.List().Pool(rq.pool), tried, rq.isCall)
 		if !ok {
 			return last
 		}
