--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -57,6 +57,7 @@
 
 func (d *Director) attempt(ctx context.Context, rq *request, c *chooser.Choice) outcome {
 	rq.tries++
+	rq.server = c.Server.ID
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline.Add(verdictGrace))
 	defer cancel()
 	var result *linkwire.Result
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -16,8 +16,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
-	"io"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -90,11 +88,10 @@
 		Throttler *throttler.Throttler
 		// Tracer learns for which routes the own backend server calls.
 		Tracer  *tracer.Tracer
-		Log     logrus.FieldLogger
+		Log     *logrus.Logger
 		Metrics *metrics.Set
 
 		weigher weigher
-		returns throttler.Returns
 		closed  atomic.Bool
 	}
 
@@ -113,6 +110,7 @@
 		isCall       bool
 		arrivals     int // servers that it has reached, or may have
 		tries        int
+		server       string // asked last
 	}
 )
 
@@ -174,31 +172,16 @@
 		return nil
 	}
 	holds, pressure := d.Throttler.Holds(rq.route.Name, rq.rank, tables.LowestRank())
-	fingerprint := rq.fingerprint()
-	if !holds || d.returns.IsBack(fingerprint) {
+	if !holds {
 		return nil
 	}
-	wait := spread(throttleWait)
-	d.returns.Expect(fingerprint, wait)
 	return refused{
 		reason:     reasonThrottled,
 		detail:     fmt.Sprintf("pressure %.2f on the route's tree", pressure),
-		retryAfter: wait,
-		spread:     true,
+		retryAfter: throttleWait,
 	}
 }
 
-// fingerprint stands for what a caller asks for, whichever attempt it is.
-func (rq *request) fingerprint() uint64 {
-	h := fnv.New64a()
-	if o := rq.organisation; o != nil {
-		_, _ = io.WriteString(h, o.Name)
-	}
-	_, _ = io.WriteString(h, "\x00"+rq.Method+" "+rq.Host+rq.Target+"\x00")
-	_, _ = h.Write(rq.Body)
-	return h.Sum64()
-}
-
 // Downstream returns the pressure of what the calls of a route lead to, as the
 // own backend server makes them.
 func (d *Director) Downstream(route string) float64 {
--- a/apricotd/internal/request/director/outcome.go
+++ b/apricotd/internal/request/director/outcome.go
@@ -29,7 +29,8 @@
 const (
 	// defaultWait is stated where nothing better is known.
 	defaultWait = 300 * time.Millisecond
-	// waitSpread is the largest part of a stated wait by which it is stretched.
+	// waitSpread is the largest part of a stated wait by which it is stretched,
+	// so that refused callers do not return at the same moment.
 	waitSpread = 0.5
 )
 
@@ -45,7 +46,6 @@
 		reason     string
 		detail     string
 		retryAfter time.Duration
-		spread     bool // retryAfter is spread already
 		mayHelp    bool // another server may accept the request
 	}
 
@@ -96,20 +96,12 @@
 	if wait <= 0 {
 		wait = defaultWait
 	}
-	if !o.spread {
-		wait = spread(wait)
-	}
 	response := Refuse(status, o.reason)
-	response.Fields = append(response.Fields, parser.Field{Name: "Retry-After", Value: strconv.FormatFloat(wait.Seconds(), 'f', 2, 64)})
+	seconds := wait.Seconds() * (1 + waitSpread*rand.Float64())
+	response.Fields = append(response.Fields, parser.Field{Name: "Retry-After", Value: strconv.FormatFloat(seconds, 'f', 2, 64)})
 	return response
 }
 
-// spread stretches a wait at random, so that refused callers do not return at
-// the same moment.
-func spread(wait time.Duration) time.Duration {
-	return wait + time.Duration(waitSpread*rand.Float64()*float64(wait))
-}
-
 // Refuse returns an answer of the node's own.
 func Refuse(status int, reason string) *acceptor.Response {
 	return &acceptor.Response{
@@ -133,8 +125,9 @@
 	}
 	d.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_requests_total{route=%q,outcome=%q}`, route, result)).Inc()
 	d.Metrics.GetOrCreateHistogram(fmt.Sprintf(`apricot_request_seconds{route=%q}`, route)).UpdateDuration(rq.Received)
-	if _, ok := o.(answered); ok && rq.arrivals <= 1 {
-		return
+	level := logrus.WarnLevel
+	if _, ok := o.(answered); ok {
+		level = logrus.InfoLevel
 	}
 	d.Log.WithFields(logrus.Fields{
 		"request":  rq.id,
@@ -145,8 +138,9 @@
 		"call":     rq.isCall,
 		"tries":    rq.tries,
 		"arrivals": rq.arrivals,
+		"server":   rq.server,
 		"tookMs":   time.Since(rq.Received).Milliseconds(),
 		"outcome":  result,
 		"detail":   detail,
-	}).Info("request ended")
+	}).Log(level, "request ended")
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -79,7 +79,7 @@
 	Names    *namer.Names
 	Store    keeper.Store
 	Decoder  keeper.Decoder
-	Log      logrus.FieldLogger
+	Log      *logrus.Logger
 	// Listen opens listeners; nil means TCP.
 	Listen func(address netip.AddrPort) (net.Listener, error)
 	// Dial opens connections to nodes and to the backend server; nil means TCP.
