--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-MODULES := wire apricotd apricotctl standin
+MODULES := wire apricotd apricotctl platform standin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
 .PHONY: build demo test check generate
 
 build:
-	go build -o bin/ ./apricotd ./apricotctl ./standin
+	go build -o bin/ ./apricotd ./apricotctl ./platform ./standin
 
 demo: build
 	./bin/standin demo --bin bin
--- a/apricotd/mesher/requests_test.go
+++ b/apricotd/mesher/requests_test.go
@@ -122,6 +122,7 @@
 		{"cut", cutting, 502},
 		{"vanished", vanishing, 502},
 		{"unframed", unframed, 200},
+		{"late", late, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runFleet(t, oneOrder, func(f *fleet) {
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -23,6 +23,7 @@
 	cutting          // ends the connection in the middle of the answer
 	vanishing        // runs the request and ends the connection
 	unframed         // no length; the answer ends with the connection
+	late             // the answer before comes once more, just before the next
 )
 
 type (
@@ -46,6 +47,7 @@
 		arrived  int
 		busy     int
 		mostBusy int
+		previous string // answer
 		listener net.Listener
 	}
 
@@ -146,7 +148,14 @@
 	}
 	text := "ran " + r.URL.RequestURI() + " " + body
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sReceipt: %s\r\nContent-Length: %d\r\n\r\n%s", head, id, len(text), text)
+	w.mu.Lock()
+	before := w.previous
+	w.previous = whole
+	w.mu.Unlock()
 	switch m {
+	case late:
+		_, err := io.WriteString(nc, before+whole)
+		return err == nil
 	case twice:
 		_, err := io.WriteString(nc, whole+whole)
 		return err == nil
