--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -119,11 +119,11 @@
 		return refused{reason: performer.Unreachable, detail: err.Error(), retryAfter: noServerWait, mayHelp: true}
 	case errors.As(err, &unsent):
 		c.Done(chooser.Report{Result: chooser.Ended})
-		return refused{reason: performer.Expired, detail: err.Error()}
+		return refused{reason: performer.ReasonOf(ctx), detail: err.Error()}
 	case ctx.Err() != nil:
 		c.Done(chooser.Report{Result: chooser.Ended})
 		rq.arrivals++
-		return unknown{reason: performer.Expired, detail: err.Error()}
+		return unknown{reason: performer.ReasonOf(ctx), detail: err.Error()}
 	}
 	c.Done(chooser.Report{Result: chooser.Failed})
 	rq.arrivals++
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -204,7 +204,7 @@
 		return p.answered(o)
 	case exchanger.Unsent:
 		if ctx.Err() != nil {
-			return refuse(reasonOf(ctx), o.Err.Error(), 0), false
+			return refuse(ReasonOf(ctx), o.Err.Error(), 0), false
 		}
 		p.Identifier.Forget()
 		return refuse(Unreachable, o.Err.Error(), unreachableWait), false
@@ -304,7 +304,7 @@
 func lost(ctx context.Context, err error) *linkwire.Result {
 	reason := Lost
 	if ctx.Err() != nil {
-		reason = reasonOf(ctx)
+		reason = ReasonOf(ctx)
 	}
 	return &linkwire.Result{Outcome: &linkwire.Result_Refusal{Refusal: &linkwire.Refusal{
 		Reason:  reason,
@@ -313,7 +313,8 @@
 	}}}
 }
 
-func reasonOf(ctx context.Context) string {
+// ReasonOf tells whether the time of an ended context ran out or its caller left.
+func ReasonOf(ctx context.Context) string {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return Expired
 	}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -62,6 +62,8 @@
 	// A node has finished after quietIntervals without any request.
 	drainInterval  = 50 * time.Millisecond
 	quietIntervals = 10
+	// operators names the server of metrics.
+	operators = "operators"
 )
 
 // startLimits are in force until the first tables are.
@@ -295,7 +297,8 @@
 }
 
 // open starts all servers, so that a node either starts whole or fails with
-// the address that is taken. The channel gets the first failure.
+// the address that is taken. Only the metrics may be missing: nobody waits for
+// them. The channel gets the first failure.
 func (n *Node) open(ctx context.Context) (<-chan error, error) {
 	failed := make(chan error, 4)
 	n.linker.Start(ctx)
@@ -308,9 +311,13 @@
 		{"callers", l.Callers, n.acceptor.Run},
 		{"links", l.Links, n.linker.Run},
 		{"health checks", l.Health, n.serveHealth},
-		{"operators", l.Operators, n.serveOperators},
+		{operators, l.Operators, n.serveOperators},
 	} {
 		listener, err := n.listen(s.address)
+		if err != nil && s.name == operators {
+			n.Log.WithError(err).Warn("no metrics are served")
+			continue
+		}
 		if err != nil {
 			return nil, fmt.Errorf("listen for %s: %w", s.name, err)
 		}
