--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -59,6 +59,8 @@
 	// callersLeave is how long callers may take to notice that this node
 	// stops: two failed health checks a second apart, and the time of one.
 	callersLeave = 3 * time.Second
+	// peersLeave is how long a stopping node still serves peers.
+	peersLeave = 2 * time.Second
 	// A node has finished after quietIntervals without any request.
 	drainInterval  = 50 * time.Millisecond
 	quietIntervals = 10
@@ -89,7 +91,8 @@
 
 	metrics    *metrics.Set
 	pool       atomic.Pointer[string]
-	leaving    atomic.Bool
+	stopping   atomic.Bool // callers are to turn elsewhere
+	leaving    atomic.Bool // peers are, too
 	acceptor   *acceptor.Acceptor
 	exchanger  *exchanger.Exchanger
 	linker     *linker.Linker
@@ -270,7 +273,7 @@
 }
 
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.keeper.Resolver() != nil && n.keeper.List() != nil
+	return !n.stopping.Load() && n.keeper.Resolver() != nil && n.keeper.List() != nil
 }
 
 // reads tells whether this node is to read the store: before it knows
@@ -341,19 +344,23 @@
 	return listener, nil
 }
 
-// drain lets callers leave and finishes what runs. A request that comes after
+// drain lets callers leave and finishes what runs. The backend server goes on
+// without this node, but nobody reaches it then, so peers are served for as
+// long as what they send can still be finished. A request that comes after
 // the time that callers need to turn elsewhere is refused, since it might not
 // be finished in time; calls of the backend server still belong to requests
 // that run.
 func (n *Node) drain() {
 	n.Log.WithField("vm", n.Settings.VM).Info("node is stopping")
 	begun := time.Now()
+	n.stopping.Store(true)
+	n.acceptor.Leave()
+	end := begun.Add(time.Duration(n.Settings.Limits.StopWithin) - stopMargin)
+	time.Sleep(min(peersLeave, time.Until(end)))
 	n.leaving.Store(true)
 	n.performer.Leave()
-	n.acceptor.Leave()
 	n.linker.Announce(nil)
-	end := begun.Add(time.Duration(n.Settings.Limits.StopWithin) - stopMargin)
-	time.Sleep(min(callersLeave, time.Until(end)))
+	time.Sleep(min(callersLeave-peersLeave, time.Until(end)))
 	n.director.Close()
 	for quiet := 0; quiet < quietIntervals && time.Now().Before(end); quiet++ {
 		time.Sleep(drainInterval)
