--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -22,7 +22,7 @@
 	evenPart = 0.1
 	// startFill is the part of its depth with which a bucket begins. A full
 	// one would grant the burst again after each restart.
-	startFill = 0.3
+	startFill = 0.2
 	// minDepth lets a bucket with a small share pass single requests.
 	minDepth = 1.0
 	// settleTime is how long a new bucket keeps to the region's equal part, until
--- a/apricotd/keeper/servers.go
+++ b/apricotd/keeper/servers.go
@@ -103,25 +103,29 @@
 	return s
 }
 
-// Vouch takes the word of a node that the server beside it is healthy. It
-// counts only for a server that did not say that it leaves.
+// Vouch takes the word of a node that the server beside it is healthy; an
+// empty id takes an earlier word back. It counts only for a server that did
+// not say that it leaves.
 func (k *Keeper) Vouch(node netip.Addr, id string) {
 	k.mu.Lock()
 	changed := false
 	now := time.Now()
 	for _, e := range k.entries {
-		if e.server == nil || e.server.ID != id || e.server.Address.Addr() != node || e.server.State != lister.Ready {
+		if e.server == nil || e.server.Address.Addr() != node || e.server.State != lister.Ready {
 			continue
 		}
-		e.vouched = now
-		changed = changed || !e.usable
+		e.vouched = time.Time{}
+		if e.server.ID == id {
+			e.vouched = now
+		}
+		changed = changed || e.usable != e.isUsable(now)
 	}
 	if changed {
 		k.publish()
 	}
 	k.mu.Unlock()
 	if changed {
-		k.Log.WithField("server", id).WithField("node", node).Info("server is used on its node's word")
+		k.Log.WithField("server", id).WithField("node", node).Info("word of a server's node changes the list")
 		k.OnChange()
 	}
 }
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -129,7 +129,7 @@
 	if !n.identifier.IsLearned() || !n.voucher.begin(id) {
 		return
 	}
-	defer n.voucher.end()
+	defer n.endVouching()
 	served := make(chan struct{})
 	go n.awaitStore(ctx, served)
 	n.Log.WithField("server", id).Info("entry of the backend server has gone; checking why")
@@ -151,6 +151,16 @@
 	}
 }
 
+// endVouching takes the word back.
+func (n *Node) endVouching() {
+	hadWord := n.voucher.current() != ""
+	n.voucher.end()
+	if hadWord {
+		n.keeper.Vouch(n.Settings.Listen.Links.Addr(), "")
+		n.linker.Announce(nil)
+	}
+}
+
 func (n *Node) isHealthy(ctx context.Context, id string) bool {
 	answer, err := n.askHealth(ctx)
 	return err == nil && answer.Status == http.StatusOK && answer.Fields.Get(n.Names.Server) == id
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -59,9 +59,7 @@
 	if b.Leaving {
 		n.chooser.Leave(l.Peer)
 	}
-	if b.Vouched != "" {
-		n.keeper.Vouch(l.Peer, b.Vouched)
-	}
+	n.keeper.Vouch(l.Peer, b.Vouched)
 	if !n.isBehind(b) {
 		return
 	}
--- a/apricotd/mesher/state_test.go
+++ b/apricotd/mesher/state_test.go
@@ -159,6 +159,22 @@
 	}
 }
 
+// A node that has vouched takes its word back at once when the store shows it
+// that the entry has gone.
+func TestWordIsTakenBack(t *testing.T) {
+	runFleet(t, oneOrder, func(f *fleet) {
+		f.store.refuse(f.vms["b"].address, true)
+		time.Sleep(3 * time.Second)
+		f.store.drop("i-b")
+		time.Sleep(2 * time.Second)
+		f.store.refuse(f.vms["b"].address, false)
+		time.Sleep(900 * time.Millisecond)
+		if r := f.send("a", f.message("POST", "shop.example", "/order/1", "x")); r.status != 503 {
+			t.Errorf("send request: got %d, want 503", r.status)
+		}
+	})
+}
+
 // Entries that expire while the store is down for all come back after it.
 func TestEntriesThatExpireDuringOutage(t *testing.T) {
 	runFleet(t, oneOrder, func(f *fleet) {
