--- /dev/null
+++ b/apricotctl/explain_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestExplain(t *testing.T) {
+	for id, want := range map[string]string{
+		"r1": `08:00:01.200 [1.2 vm-b] call r1.c1 on route stock (rank 1, tables 7): answered after 40 ms; asked 1 nodes of pool stock, i-3 last; reached 1 backend servers
+08:00:01.500 [1.5 vm-a] request r1 on route order (rank 0, tables 7): lostUnknown after 510 ms; asked 2 nodes of pool orders, i-2 last; reached 1 backend servers; wait for peer: link to peer was lost
+`,
+		"r10": `08:00:01.600 [1.6 vm-a] request r10 on route search (rank 2, tables 7): throttled after 0 ms; asked 0 nodes of pool search; reached 0 backend servers; pressure 0.26 on the route's tree
+`,
+	} {
+		f, err := os.Open("testdata/explain.log")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out strings.Builder
+		if err := explain(&out, id, f); err != nil {
+			t.Errorf("explain %s: %v", id, err)
+		}
+		if out.String() != want {
+			t.Errorf("explain %s: got\n%swant\n%s", id, out.String(), want)
+		}
+		_ = f.Close()
+	}
+}
+
+func TestExplainUnknownRequest(t *testing.T) {
+	if err := explain(&strings.Builder{}, "r9", strings.NewReader("{}\n")); err == nil {
+		t.Error("explain a request that no line names: got no error, want one")
+	}
+}
--- a/apricotctl/main.go
+++ b/apricotctl/main.go
@@ -8,6 +8,7 @@
 //	apricotctl status --node 10.0.0.7:7004 [--node ...] [--json]
 //	apricotctl audit --node 10.0.0.7:7004 [--count N] [--json]
 //	apricotctl follow --version 12 --node 10.0.0.7:7004 [--node ...]
+//	apricotctl explain ID [LOG...]
 //	apricotctl certificates --out DIR VM...
 package main
 
@@ -25,6 +26,7 @@
 	Status       statusCommand       `command:"status" description:"show what nodes tell of themselves"`
 	Audit        auditCommand        `command:"audit" description:"show the nodes' audit trails"`
 	Follow       followCommand       `command:"follow" description:"wait until a version of the tables is in force on all nodes"`
+	Explain      explainCommand      `command:"explain" description:"tell the story of one request from the logs of nodes"`
 	Certificates certificatesCommand `command:"certificates" description:"make an authority and certificates for VMs"`
 }
 
