--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -154,10 +154,19 @@
 		reason:     r.GetReason(),
 		detail:     fmt.Sprintf("%s by %s", r.GetDetail(), rq.pool),
 		retryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
-		mayHelp:    r.GetReason() != performer.Cancelled && r.GetReason() != performer.Expired,
+		mayHelp:    mayHelp(r.GetReason()),
 	}, report
 }
 
+// mayHelp tells whether another server may accept what one refused.
+func mayHelp(reason string) bool {
+	switch reason {
+	case performer.Cancelled, performer.Expired, performer.Quarantined:
+		return false
+	}
+	return true
+}
+
 func resultOf(r *linkwire.Refusal) chooser.Result {
 	switch r.GetReason() {
 	case performer.Overloaded:
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -29,6 +29,7 @@
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/process/budgeter"
 	"apricotrudder.dev/apricotd/internal/process/chooser"
+	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/rationer"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tracer"
@@ -84,6 +85,8 @@
 		Rations  *rationer.Rationer
 		Linker   *linker.Linker
 		Local    *performer.Performer
+		// Quarantine knows the requests that crash backend servers.
+		Quarantine *quarantiner.Quarantiner
 		// Throttler holds back callers' requests whose trees are overloaded.
 		Throttler *throttler.Throttler
 		// Tracer learns for which routes the own backend server calls.
@@ -160,6 +163,9 @@
 			return refused{reason: reasonRate, detail: detail, retryAfter: e.Wait}
 		}
 	}
+	if d.Quarantine.Any() && d.Quarantine.Holds(quarantiner.Fingerprint(rq.Method, rq.Host, rq.Target, rq.Body)) {
+		return refused{reason: performer.Quarantined, detail: "backend servers crashed that ran it", retryAfter: performer.QuarantineWait}
+	}
 	rq.fields = d.fields(rq)
 	return d.throttle(rq, tables)
 }
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -30,6 +30,7 @@
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/gauger"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
+	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/tracer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/checker"
@@ -47,6 +48,7 @@
 	Expired     = "expired"     // the time ran out
 	Cancelled   = "cancelled"   // the caller left
 	Lost        = "lost"        // the server broke off
+	Quarantined = "quarantined" // the request crashes servers
 )
 
 const (
@@ -55,6 +57,9 @@
 	// unreachableWait is what callers are asked to wait for a server that
 	// does not accept connections.
 	unreachableWait = 500 * time.Millisecond
+	// QuarantineWait is what callers are asked to wait with a request that
+	// crashes servers.
+	QuarantineWait = 30 * time.Second
 	// shedWait is what callers are asked to wait after the server itself turned
 	// a request away: the next may be accepted, and targets are short.
 	shedWait = 50 * time.Millisecond
@@ -71,6 +76,10 @@
 	Identifier *identifier.Identifier
 	Gauger     *gauger.Gauger
 	Tracer     *tracer.Tracer
+	Quarantine *quarantiner.Quarantiner
+	// OnBroken is called when the server has ended a connection without an
+	// answer.
+	OnBroken func()
 	// Downstream returns the pressure of what a route's calls lead to.
 	Downstream func(route string) float64
 	Log        logrus.FieldLogger
@@ -118,6 +127,9 @@
 	if refusal := p.check(run); refusal != nil {
 		return refusal
 	}
+	if p.Quarantine.Any() && p.Quarantine.Holds(fingerprint(run)) {
+		return refuse(Quarantined, "backend servers crashed that ran it", QuarantineWait)
+	}
 	p.waiting.Add(1)
 	release, err := p.Admitter.Enter(ctx, admitter.Request{
 		Class:        classOf(run),
@@ -142,6 +154,9 @@
 	answered := result.GetAnswer() != nil
 	if answered {
 		p.observe(time.Since(begun))
+		if p.Quarantine.Any() {
+			p.Quarantine.Clear(fingerprint(run))
+		}
 	}
 	release(answered)
 	return result
@@ -211,6 +226,8 @@
 	case exchanger.Lost:
 		if o.Broken {
 			p.Identifier.Forget()
+			p.Quarantine.Broke(fingerprint(run))
+			p.OnBroken()
 		}
 		return lost(ctx, o.Err), false
 	default:
@@ -264,6 +281,10 @@
 	p.service.Store(old + int64(serviceGain*float64(int64(took)-old)))
 }
 
+func fingerprint(run *linkwire.Run) uint64 {
+	return quarantiner.Fingerprint(run.Method, run.Host, run.Target, run.Body)
+}
+
 func classOf(run *linkwire.Run) checker.Class {
 	if run.Call {
 		return classCall
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -38,6 +38,7 @@
 	"apricotrudder.dev/apricotd/internal/process/chooser"
 	"apricotrudder.dev/apricotd/internal/process/gauger"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
+	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/rationer"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tracer"
@@ -102,6 +103,8 @@
 	rationer   *rationer.Rationer
 	gauger     *gauger.Gauger
 	tracer     *tracer.Tracer
+	quarantine *quarantiner.Quarantiner
+	confirming atomic.Bool // whether the own backend server has crashed
 	performer  *performer.Performer
 	director   *director.Director
 	readers    *readers
@@ -172,6 +175,7 @@
 	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.ownPool, List: n.keeper.List}
 	n.gauger = &gauger.Gauger{Load: n.ownLoad}
 	n.tracer = &tracer.Tracer{}
+	n.quarantine = &quarantiner.Quarantiner{}
 	n.performer = &performer.Performer{
 		Names:      n.Names,
 		Exchanger:  n.exchanger,
@@ -179,6 +183,8 @@
 		Identifier: n.identifier,
 		Gauger:     n.gauger,
 		Tracer:     n.tracer,
+		Quarantine: n.quarantine,
+		OnBroken:   n.confirmCrash,
 		Downstream: func(route string) float64 { return n.director.Downstream(route) },
 		Log:        n.Log,
 	}
@@ -228,13 +234,14 @@
 			Allowance: s.Retries.Allowance,
 			Nodes:     n.nodes,
 		},
-		Rations:   n.rationer,
-		Linker:    n.linker,
-		Local:     n.performer,
-		Throttler: &throttler.Throttler{},
-		Tracer:    n.tracer,
-		Log:       n.Log,
-		Metrics:   n.metrics,
+		Rations:    n.rationer,
+		Linker:     n.linker,
+		Local:      n.performer,
+		Quarantine: n.quarantine,
+		Throttler:  &throttler.Throttler{},
+		Tracer:     n.tracer,
+		Log:        n.Log,
+		Metrics:    n.metrics,
 	}
 }
 
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -10,12 +10,16 @@
 
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/wire/linkwire"
 )
 
 const (
 	// probeInterval is how often a server whose id is not known is asked.
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond
+	// crashDelay is how long after a connection broke the server is asked
+	// whether it is still there.
+	crashDelay = 50 * time.Millisecond
 	// vouchDelay is how long the store may take to answer before a node vouches
 	// for its server.
 	vouchDelay = 300 * time.Millisecond
@@ -182,3 +186,23 @@
 	defer v.mu.Unlock()
 	return v.running
 }
+
+// confirmCrash finds out whether the own backend server has crashed, after it
+// ended a connection, and tells peers what it was running.
+func (n *Node) confirmCrash() {
+	if !n.confirming.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(crashDelay, func() {
+		defer n.confirming.Store(false)
+		if _, err := n.askHealth(n.background); err == nil {
+			n.quarantine.Survived()
+			return
+		}
+		blamed := n.quarantine.Crashed()
+		n.Log.WithField("running", len(blamed)).Warn("backend server has crashed")
+		n.linker.Broadcast(func() *linkwire.Frame {
+			return &linkwire.Frame{Kind: &linkwire.Frame_Blame{Blame: &linkwire.Blame{Fingerprints: blamed}}}
+		}, nil)
+	})
+}
--- a/apricotd/mesher/requests_test.go
+++ b/apricotd/mesher/requests_test.go
@@ -266,3 +266,21 @@
 		_ = nc.Close()
 	}
 }
+
+// A request that crashes every server that runs it comes again and again,
+// under new ids and at any node.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	runFleet(t, twoSearch, func(f *fleet) {
+		for i := range 20 {
+			name := string(rune('a' + i%3))
+			f.send(name, f.get("shop.example", "/search/crash"))
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if n := len(f.runsOf("search")); n > 4 {
+			t.Errorf("runs of a request that crashes servers: got %d, want at most 4", n)
+		}
+		if r := f.send("a", f.get("shop.example", "/search/other")); r.status != 200 {
+			t.Errorf("another request: got %d, want 200", r.status)
+		}
+	})
+}
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -44,6 +44,8 @@
 		if err := n.takeState(l, kind.Snapshot); err != nil {
 			n.Log.WithError(err).WithField("peer", l.Peer).Error("state of a peer rejected")
 		}
+	case *linkwire.Frame_Blame:
+		n.quarantine.Blame(kind.Blame.Fingerprints)
 	case *linkwire.Frame_Usage:
 		if reply := n.rationer.Hear(kind.Usage); reply != nil {
 			l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Usage{Usage: reply}})
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -40,6 +40,10 @@
 		call func() string
 		node func() net.Conn
 
+		t       *testing.T
+		network *connector.Connector
+		address netip.AddrPort
+
 		mu       sync.Mutex
 		manner   manner
 		unwell   bool // the health check fails
@@ -60,6 +64,7 @@
 )
 
 func (w *worker) run(t *testing.T, network *connector.Connector, address netip.AddrPort) {
+	w.t, w.network, w.address = t, network, address
 	listener, err := network.Listen(address)
 	if err != nil {
 		t.Fatalf("listen for backend server: %v", err)
@@ -76,6 +81,17 @@
 	}()
 }
 
+// crash ends the server; it is back after a second under a new id.
+func (w *worker) crash() {
+	_ = w.listener.Close()
+	time.AfterFunc(time.Second, func() {
+		w.mu.Lock()
+		w.id += "x"
+		w.mu.Unlock()
+		w.run(w.t, w.network, w.address)
+	})
+}
+
 func (w *worker) close() { _ = w.listener.Close() }
 
 func (w *worker) set(m manner) {
@@ -142,6 +158,10 @@
 		return err == nil
 	}
 	failed := w.perform(r, gone)
+	if strings.Contains(r.URL.Path, "/crash") {
+		w.crash()
+		return false
+	}
 	if failed {
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 500 Internal Server Error\r\n%sReceipt: %s\r\nContent-Length: 0\r\n\r\n", head, id)
 		return err == nil
