--- a/apricotd/internal/connection/exchanger/conn.go
+++ b/apricotd/internal/connection/exchanger/conn.go
@@ -43,6 +43,7 @@
 var (
 	errUnexpected = errors.New("backend server sent bytes that belong to no request")
 	errBusy       = errors.New("connection is closed or in use")
+	errSpent      = errors.New("connection is not used any more")
 )
 
 func newConn(nc net.Conn, idField string) *conn {
--- a/apricotd/internal/connection/exchanger/exchanger.go
+++ b/apricotd/internal/connection/exchanger/exchanger.go
@@ -27,8 +27,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 )
 
@@ -238,5 +236,3 @@
 	}
 	return nc, nil
 }
-
-var errSpent = errors.New("connection is not used any more")
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -10,6 +10,7 @@
 // # Usage
 //
 //	l := &linker.Linker{Port: 7000, Serve: serve, Beat: beat, Receive: receive, Log: log}
+//	l.Start(ctx)
 //	go l.Run(ctx, listener)
 //	result, err := l.Exchange(ctx, peer, run)
 //	l.Announce(nil)
--- a/apricotd/internal/process/budgeter/budgeter.go
+++ b/apricotd/internal/process/budgeter/budgeter.go
@@ -98,15 +98,6 @@
 	return true
 }
 
-// Left returns the repeats that a pool's budget still has room for.
-func (b *Budgeter) Left(name string) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	slot := b.slot()
-	p := b.pool(name)
-	return b.limit(p, slot) - float64(p.repeats.sum(slot))
-}
-
 func (b *Budgeter) limit(p *pool, slot int64) float64 {
 	share := b.Allowance / float64(max(b.Nodes(), 1))
 	return safety * (share + b.Ratio*float64(p.requests.sum(slot)))
--- a/apricotd/internal/process/chooser/chooser.go
+++ b/apricotd/internal/process/chooser/chooser.go
@@ -24,6 +24,7 @@
 	"sync"
 	"time"
 
+	"apricotrudder.dev/apricotd/internal/process/decayer"
 	"apricotrudder.dev/apricotd/version/lister"
 )
 
@@ -249,8 +250,8 @@
 	if now.Before(s.ColdUntil) {
 		slots *= coldShare
 	}
-	load := float64(r.load) * decay(now.Sub(r.reportedAt), reportHalfLife)
-	fill := max(load, float64(r.sent))/slots + failureWeight*r.failures*decay(now.Sub(r.failedAt), failureHalfLife)
+	load := float64(r.load) * decayer.Left(now.Sub(r.reportedAt), reportHalfLife)
+	fill := max(load, float64(r.sent))/slots + failureWeight*r.failures*decayer.Left(now.Sub(r.failedAt), failureHalfLife)
 	if now.Before(r.fullUntil) {
 		fill += fullExtra
 	}
@@ -270,15 +271,11 @@
 }
 
 func (r *record) fail(sample float64, now time.Time) {
-	mean := r.failures * decay(now.Sub(r.failedAt), failureHalfLife)
+	mean := r.failures * decayer.Left(now.Sub(r.failedAt), failureHalfLife)
 	r.failures = mean + (sample-mean)*failureGain
 	r.failedAt = now
 }
 
-func decay(age, halfLife time.Duration) float64 {
-	return math.Exp2(-age.Seconds() / halfLife.Seconds())
-}
-
 // jitter keeps the nodes of a fleet from coming back at the same moment.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"apricotrudder.dev/apricotd/internal/process/decayer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
 )
@@ -78,7 +79,7 @@
 // wait is when the tokens for those who are refused will have come, counting
 // those that were asked to wait before.
 func (b *bucket) wait(rate float64, n uint32, now time.Time) time.Duration {
-	b.refused = b.refused*halved(now.Sub(b.waited), waitHalfLife) + float64(n)
+	b.refused = b.refused*decayer.Left(now.Sub(b.waited), waitHalfLife) + float64(n)
 	b.waited = now
 	if rate <= 0 {
 		return maxWait
@@ -93,7 +94,7 @@
 }
 
 func (b *bucket) demandAt(now time.Time) float64 {
-	return b.demand * halved(now.Sub(b.asked), demandHalfLife)
+	return b.demand * decayer.Left(now.Sub(b.asked), demandHalfLife)
 }
 
 func (r *Rationer) bucket(name string) *bucket {
@@ -179,7 +180,3 @@
 	b.told = b.demandAt(now)
 	return b.told
 }
-
-func halved(age, halfLife time.Duration) float64 {
-	return math.Exp2(-age.Seconds() / halfLife.Seconds())
-}
--- a/apricotd/internal/process/recorder/recorder.go
+++ b/apricotd/internal/process/recorder/recorder.go
@@ -58,10 +58,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines left out and not yet accounted for in
-// the log.
-func (r *Recorder) Dropped() int64 { return r.dropped.Load() }
-
 // Run writes lines until the context ends, and then those that still wait.
 func (r *Recorder) Run(ctx context.Context) {
 	r.init()
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -18,10 +18,11 @@
 package throttler
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"apricotrudder.dev/apricotd/internal/process/decayer"
 )
 
 const (
@@ -75,14 +76,14 @@
 			continue
 		}
 		newest = min(newest, age)
-		w := halved(age, reportHalfLife)
+		w := decayer.Left(age, reportHalfLife)
 		sum += w * r.pressure
 		weights += w
 	}
 	if weights == 0 {
 		return 0
 	}
-	return sum / weights * halved(max(0, newest-fadeAfter), fadeHalfLife)
+	return sum / weights * decayer.Left(max(0, newest-fadeAfter), fadeHalfLife)
 }
 
 // Holds draws whether a request of a rank is held back; lowest is the least
@@ -91,7 +92,3 @@
 	p := t.Pressure(route)
 	return rand.Float64() < p-float64(lowest-rank), p
 }
-
-func halved(age, halfLife time.Duration) float64 {
-	return math.Exp2(-age.Seconds() / halfLife.Seconds())
-}
--- a/apricotd/internal/process/tracer/tracer.go
+++ b/apricotd/internal/process/tracer/tracer.go
@@ -145,16 +145,6 @@
 	return out
 }
 
-// CallsPerRun estimates how many calls of a name one request of a route makes.
-func (t *Tracer) CallsPerRun(routeName, call string) float64 {
-	for _, c := range t.Calls(routeName) {
-		if c.Name == call {
-			return c.PerRun
-		}
-	}
-	return 0
-}
-
 func (t *Tracer) sample() sample {
 	s := sample{
 		running:  make([]int, len(t.routes)),
--- a/apricotd/internal/process/tracer/tracer_test.go
+++ b/apricotd/internal/process/tracer/tracer_test.go
@@ -32,11 +32,20 @@
 		go keep(16, func() { run("stem", 4, 100*time.Millisecond) })
 		keep(6, func() { run("preview", 0, 550*time.Millisecond) })
 		time.Sleep(time.Second)
-		if got := tr.CallsPerRun("stem", "split"); math.Abs(got-4) > 1 {
+		if got := callsPerRun(tr, "stem", "split"); math.Abs(got-4) > 1 {
 			t.Errorf("calls of stem: got %.2f, want 4 within 1", got)
 		}
-		if got := tr.CallsPerRun("preview", "split"); got > 0.5 {
+		if got := callsPerRun(tr, "preview", "split"); got > 0.5 {
 			t.Errorf("calls of preview: got %.2f, want none", got)
 		}
 	})
 }
+
+func callsPerRun(t *Tracer, route, call string) float64 {
+	for _, c := range t.Calls(route) {
+		if c.Name == call {
+			return c.PerRun
+		}
+	}
+	return 0
+}
--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -93,7 +93,6 @@
 		Idempotent:  rq.route.Idempotent,
 		Call:        rq.isCall,
 		PatienceMs:  uint32(rq.patience(left).Milliseconds()),
-		Repeated:    rq.arrivals > 0,
 		Route:       rq.route.Name,
 		Preference:  uint32(max(0, rq.preference)),
 	}
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -1,11 +1,11 @@
 // Package director takes requests from callers and from the node's own backend
 // server to a backend server of the pool that their route names.
 //
-// It guarantees that a request without effect limits is sent again only within
-// its route's attempts and the fleet's budget, that a non-idempotent request
-// is sent again only after a stated "not run", that a key never leaves this
-// node, and that every request gets its final answer as soon as it is given
-// up. Statuses that promise "not run" are used only where that is certain.
+// It guarantees that an idempotent request is sent again only within its
+// route's attempts and the fleet's retry budget, that any other request is sent
+// again only after a stated "not run", that a key never leaves this node, and
+// that every request gets its final answer as soon as it is given up. Statuses
+// that promise "not run" are used only where that is certain.
 //
 // # Usage
 //
--- a/apricotd/internal/request/director/weigher.go
+++ b/apricotd/internal/request/director/weigher.go
@@ -7,6 +7,9 @@
 	"apricotrudder.dev/apricotd/version/resolver"
 )
 
+// maxWeighed bounds the routes of past versions that are kept.
+const maxWeighed = 1024
+
 // A weigher divides the requests of a route among its pools by weight. Each
 // node goes round by itself (smooth weighted round robin) and begins at a
 // random place, so the fleet keeps the weights also where a node has few
@@ -51,6 +54,3 @@
 	w.credit[route] = credit
 	return credit
 }
-
-// maxWeighed bounds the routes of past versions that are kept.
-const maxWeighed = 1024
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -23,7 +23,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
@@ -82,7 +81,6 @@
 	OnBroken func()
 	// Downstream returns the pressure of what a route's calls lead to.
 	Downstream func(route string) float64
-	Log        logrus.FieldLogger
 
 	leaving atomic.Bool
 	waiting atomic.Int64
--- a/apricotd/keeper/keeper.go
+++ b/apricotd/keeper/keeper.go
@@ -50,6 +50,9 @@
 	// outageFrom is the time without answer from which entries may have
 	// expired because nobody could renew them.
 	outageFrom = time.Second
+	// sourceStore names the store as the source of state; peers are named by
+	// their addresses.
+	sourceStore = "store"
 )
 
 // ErrHistoryGone reports that the store no longer has the changes asked for.
@@ -177,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	k.Apply(changes, "store")
+	k.Apply(changes, sourceStore)
 	return nil
 }
 
@@ -202,7 +205,7 @@
 		return fmt.Errorf("read store: %w", err)
 	}
 	k.succeed()
-	k.Apply(snapshot, "store")
+	k.Apply(snapshot, sourceStore)
 	return nil
 }
 
--- a/apricotd/keeper/servers.go
+++ b/apricotd/keeper/servers.go
@@ -49,7 +49,7 @@
 		k.revision = max(k.revision, s.Revision)
 		return false
 	}
-	if source != "store" {
+	if source != sourceStore {
 		k.heard = time.Now()
 	}
 	listed := make(map[string]bool, len(s.Servers))
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -186,7 +186,6 @@
 		Quarantine: n.quarantine,
 		OnBroken:   n.confirmCrash,
 		Downstream: func(route string) float64 { return n.director.Downstream(route) },
-		Log:        n.Log,
 	}
 	n.performer.SetSlots(defaultSlots)
 	n.linker = &linker.Linker{
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -59,9 +59,9 @@
 
 	// A Pool describes the backend servers of one service.
 	Pool struct {
-		Name           string
-		HealthPath     string
-		MaxConnections int
+		Name string
+		// HealthPath is where its backend servers answer health checks.
+		HealthPath string
 	}
 
 	// An Organisation is a customer whose callers present its keys.
