--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -157,17 +157,31 @@
 	rq.deadline = d.deadline(rq)
 	rq.pool = d.weigher.pick(route)
 	d.Budget.Count(rq.pool)
-	if o := rq.organisation; o != nil {
-		if e := d.Rations.Take(ctx, o); e != nil {
-			detail := fmt.Sprintf("organisation %s has used its %.1f requests per second, says %s", e.Organisation, e.Rate, e.Keeper)
-			return refused{reason: reasonRate, detail: detail, retryAfter: e.Wait}
-		}
-	}
 	if d.Quarantine.Any() && d.Quarantine.Holds(quarantiner.Fingerprint(rq.Method, rq.Host, rq.Target, rq.Body)) {
 		return refused{reason: performer.Quarantined, detail: "backend servers crashed that ran it", retryAfter: performer.QuarantineWait}
 	}
+	if o := d.throttle(rq, tables); o != nil {
+		return o
+	}
 	rq.fields = d.fields(rq)
-	return d.throttle(rq, tables)
+	return d.charge(ctx, rq)
+}
+
+// charge takes a token of the organisation's rate. It comes last, so that a
+// request which is refused for another reason uses none.
+func (d *Director) charge(ctx context.Context, rq *request) outcome {
+	if rq.organisation == nil {
+		return nil
+	}
+	e := d.Rations.Take(ctx, rq.organisation)
+	if e == nil {
+		return nil
+	}
+	return refused{
+		reason:     reasonRate,
+		detail:     fmt.Sprintf("organisation %s has used its %.1f requests per second, says %s", e.Organisation, e.Rate, e.Keeper),
+		retryAfter: e.Wait,
+	}
 }
 
 // throttle refuses a caller's request whose tree has no room for its rank. A
