Admit from the equal part while a keeper holds no tables

Ruled out by the refusals in the logs: several keepers, and equal parts; each region had one keeper. TestKeeperWithoutTables failed first: 400 admitted in 0.4 s, want at most 32.

--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -116,18 +116,30 @@
 		if !ok {
 			break
 		}
-		if keeper == r.Self {
-			return r.excess(o, keeper.String(), r.Lend(o.Name, 1))
-		}
-		if grant, ok := r.borrower(o.Name).take(ctx, keeper); ok {
+		grant := r.ask(ctx, keeper, o.Name)
+		switch {
+		case grant == nil:
+		case grant.Unknown:
+			// The keeper has just started and holds no tables yet.
+			return r.takeFallback(o)
+		default:
 			return r.excess(o, keeper.String(), grant)
 		}
 	}
 	return r.takeFallback(o)
 }
 
+// ask returns the word of a keeper on one request, or nil if it does not answer.
+func (r *Rationer) ask(ctx context.Context, keeper netip.Addr, organisation string) *linkwire.Grant {
+	if keeper == r.Self {
+		return r.Lend(organisation, 1)
+	}
+	grant, _ := r.borrower(organisation).take(ctx, keeper)
+	return grant
+}
+
 func (r *Rationer) excess(o *resolver.Organisation, keeper string, g *linkwire.Grant) *Excess {
-	if g.Granted > 0 || g.Unknown {
+	if g.Granted > 0 {
 		return nil
 	}
 	return &Excess{
--- a/apricotd/internal/process/rationer/rationer_test.go
+++ b/apricotd/internal/process/rationer/rationer_test.go
@@ -178,3 +178,22 @@
 		time.Sleep(gap)
 	}
 }
+
+// A keeper that has just started holds no tables yet. Requests that come to it
+// meanwhile, from all nodes at once, are not admitted without limit.
+func TestKeeperWithoutTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(80, 80)
+		for _, r := range f.nodes {
+			r.Organisation = func(string) (*resolver.Organisation, bool) { return nil, false }
+		}
+		for i := range 400 {
+			f.take(i % len(f.nodes))
+			time.Sleep(time.Millisecond)
+		}
+		// Half of the rate for 0.4 s, and one request at each node.
+		if got, want := len(f.admitted), 80*4/10/2+len(f.nodes); got > want {
+			t.Errorf("admitted in 0.4 s: got %d, want at most %d", got, want)
+		}
+	})
+}
