Add up what the keepers of a region report

Both keepers told their demand, 118 and 10, and the last word stood for the region, so the share went to and fro between 0.57 and 0.94 on both sides. Reports are now kept for each keeper and added up. TestSecondKeeperInRegion is new; it was not run against the code before.

--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/process/decayer"
@@ -49,7 +50,9 @@
 		waited  time.Time
 	}
 
-	// A report is what another region asks of one organisation's rate.
+	// A report is what one keeper of another region is asked of an
+	// organisation's rate. A region has several keepers while its nodes differ
+	// on who can be reached.
 	report struct {
 		at     time.Time
 		demand float64
@@ -124,9 +127,8 @@
 	}
 	known, total := own, b.told
 	for _, region := range list.Regions() {
-		report := r.heard[regionOrganisation{region, name}]
-		if region != r.Region && report != nil && now.Sub(report.at) < heardFor {
-			total += report.demand
+		if demand, ok := r.demandOf(region, name, now); ok && region != r.Region {
+			total += demand
 			known += r.part(list, region)
 		}
 	}
@@ -136,6 +138,19 @@
 	return evenPart*own + (1-evenPart)*min(1, known)*b.told/total
 }
 
+// demandOf adds up what the keepers of a region have reported.
+func (r *Rationer) demandOf(region, organisation string, now time.Time) (demand float64, ok bool) {
+	reports := r.heard[regionOrganisation{region, organisation}]
+	for keeper, report := range reports {
+		if now.Sub(report.at) >= heardFor {
+			delete(reports, keeper)
+			continue
+		}
+		demand += report.demand
+	}
+	return demand, len(reports) > 0
+}
+
 // part returns a region's part of all nodes.
 func (r *Rationer) part(list *lister.List, region string) float64 {
 	return float64(list.NodesIn(region)) / float64(list.Nodes())
@@ -144,14 +159,18 @@
 // Hear takes another region's demand from one of its keepers. It returns the
 // own region's for the same organisations, as far as this node keeps their
 // buckets, or nil.
-func (r *Rationer) Hear(u *linkwire.Usage) *linkwire.Usage {
+func (r *Rationer) Hear(keeper netip.Addr, u *linkwire.Usage) *linkwire.Usage {
 	now := time.Now()
 	r.mu.Lock()
 	if r.heard == nil {
-		r.heard = make(map[regionOrganisation]*report)
+		r.heard = make(map[regionOrganisation]map[netip.Addr]report)
 	}
 	for _, d := range u.Demands {
-		r.heard[regionOrganisation{u.Region, d.Organisation}] = &report{at: now, demand: float64(d.Rate)}
+		about := regionOrganisation{u.Region, d.Organisation}
+		if r.heard[about] == nil {
+			r.heard[about] = make(map[netip.Addr]report)
+		}
+		r.heard[about][keeper] = report{at: now, demand: float64(d.Rate)}
 	}
 	r.mu.Unlock()
 	if u.Reply {
@@ -159,7 +178,7 @@
 	}
 	reply := &linkwire.Usage{Region: r.Region, Reply: true}
 	for _, d := range u.Demands {
-		if keeper, ok := r.keeper(d.Organisation); ok && keeper == r.Self {
+		if own, ok := r.keeper(d.Organisation); ok && own == r.Self {
 			reply.Demands = append(reply.Demands, &linkwire.Demand{Organisation: d.Organisation, Rate: float32(r.tell(d.Organisation, now))})
 		}
 	}
--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -16,7 +16,7 @@
 //	r := &rationer.Rationer{Self: address, Region: region, List: list, Borrow: borrow, ...}
 //	excess := r.Take(ctx, organisation) // nil: admitted
 //	grant := r.Lend(organisation, wanted)
-//	r.Hear(usage)
+//	reply := r.Hear(keeper, usage)
 //	for _, n := range r.Notices() { ... } // at intervals
 //
 // Rates are exceeded, within what is agreed, while demand moves between
@@ -83,10 +83,10 @@
 		Window    time.Duration
 
 		mu        sync.Mutex
-		buckets   map[string]*bucket   // kept for the region
-		fallbacks map[string]*bucket   // of this node alone
-		borrowers map[string]*borrower // by organisation
-		heard     map[regionOrganisation]*report
+		buckets   map[string]*bucket                           // kept for the region
+		fallbacks map[string]*bucket                           // of this node alone
+		borrowers map[string]*borrower                         // by organisation
+		heard     map[regionOrganisation]map[netip.Addr]report // by keeper
 		avoided   map[netip.Addr]avoidance
 	}
 
--- a/apricotd/internal/process/rationer/rationer_test.go
+++ b/apricotd/internal/process/rationer/rationer_test.go
@@ -89,8 +89,8 @@
 	for _, r := range f.nodes {
 		for _, n := range r.Notices() {
 			if !f.cut[r.Self] && !f.cut[n.Keeper] {
-				if reply := f.byAddress[n.Keeper].Hear(n.Usage); reply != nil {
-					r.Hear(reply)
+				if reply := f.byAddress[n.Keeper].Hear(r.Self, n.Usage); reply != nil {
+					r.Hear(n.Keeper, reply)
 				}
 			}
 		}
@@ -197,3 +197,26 @@
 		}
 	})
 }
+
+// While its nodes differ on who can be reached, a region has a second keeper,
+// which is asked for little. Its word must not stand for the whole region's.
+func TestSecondKeeperInRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(80, 80)
+		north := f.nodes[0]
+		word := func(keeper int, rate float32) {
+			north.Hear(f.nodes[keeper].Self, &linkwire.Usage{Region: "r1", Reply: true, Demands: []*linkwire.Demand{{Organisation: "gold", Rate: rate}}})
+		}
+		for range 100 {
+			north.Lend("gold", 2)
+			time.Sleep(20 * time.Millisecond)
+		}
+		north.Notices()
+		word(1, 100)
+		word(3, 1)
+		b := north.bucket("gold")
+		if got := north.share("gold", b, time.Now()); got > 0.6 {
+			t.Errorf("share of a region that is asked for as much as the other: got %.2f, want about a half", got)
+		}
+	})
+}
