Hold lapsed entries for the time after the store's return, not after the removal

Cause: two faults. A node that the store alone refused for nine seconds took that for an outage for all, since no server had changed meanwhile, and so held an entry that was removed two seconds later, while the store was well; peers took over the hold. And a hold lasted 2.5 s from the removal, not from the return of the store, so that one that began late lasted beyond the time in which a leaving server may get requests.

Ruled out: vouching (no line of it before 20 s), late news (all nodes had the revision within 65 ms).

Mended: the word of a peer that the store answers it, heard later than peers need to notice an outage, marks the return; holds end 2.5 s after the return, also at peers, which are told how long is left.

Tests without the bench, failing before: TestOutageOfOneNodeHoldsNothing, TestHoldEndsWithTheTimeToComeBack (2.85 s after the outage still used).

--- a/apricotd/keeper/keeper.go
+++ b/apricotd/keeper/keeper.go
@@ -47,6 +47,8 @@
 	// healthyFor is the age up to which an answer shows that the store serves
 	// this node.
 	healthyFor = watchWait + 500*time.Millisecond
+	// wordDelay is how long a beat of a peer may be under way.
+	wordDelay = 200 * time.Millisecond
 	// outageFrom is the time without answer from which entries may have
 	// expired because nobody could renew them.
 	outageFrom = time.Second
@@ -66,8 +68,9 @@
 		Revision uint64
 		// Gone tells that the entry was removed; it has no value then.
 		Gone bool
-		// Held tells that the removal may be undone: it fell into an outage.
-		Held bool
+		// HeldFor is how much longer a removed entry may come back: it was
+		// removed in an outage, or just after one.
+		HeldFor time.Duration
 	}
 
 	// A Snapshot is published state: all of it, or what changed up to its
@@ -113,8 +116,10 @@
 		complete uint64    // revision from which all removals are remembered
 		answered time.Time // when the store last answered
 		failing  time.Time // since when it does not answer; zero: it does
-		regained time.Time // when it answered again after an outage for all
-		heard    time.Time // when a peer last had newer servers
+		regained time.Time // when it was back after the last outage
+		// peerServed is when a peer first told, during an outage, that the
+		// store answers it.
+		peerServed time.Time
 	}
 )
 
@@ -209,15 +214,30 @@
 	return nil
 }
 
-// succeed notes an answer. After an outage that peers did not see either,
-// entries that have expired meanwhile may come back.
+// PeerServed takes the word of a peer that the store answers it. During an
+// outage it shows that the store is back, or refuses only some nodes. Peers need
+// up to healthyFor to notice an outage, so that their word does not count before.
+func (k *Keeper) PeerServed() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.failing.IsZero() || !k.peerServed.IsZero() || time.Since(k.failing) <= healthyFor+wordDelay {
+		return
+	}
+	k.peerServed = time.Now()
+}
+
+// succeed notes an answer. Entries that have expired in an outage may come back
+// for some time after the store began to answer again, this node or another.
 func (k *Keeper) succeed() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
 	if !k.failing.IsZero() {
-		if now.Sub(k.failing) > outageFrom && k.heard.Before(k.failing) {
+		if now.Sub(k.failing) > outageFrom {
 			k.regained = now
+			if !k.peerServed.IsZero() {
+				k.regained = k.peerServed
+			}
 		}
 		k.Log.WithField("failedForMs", now.Sub(k.failing).Milliseconds()).Info("store answers again")
 		k.failing = time.Time{}
@@ -229,7 +249,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.failing.IsZero() {
-		k.failing = time.Now()
+		k.failing, k.peerServed = time.Now(), time.Time{}
 		k.Log.WithError(err).Warn("store does not answer")
 	}
 }
--- /dev/null
+++ b/apricotd/keeper/keeper_test.go
@@ -0,0 +1,189 @@
+package keeper
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/apricotd/version/resolver"
+)
+
+type (
+	// fakeStore holds entries that are nothing but ids.
+	fakeStore struct {
+		mu       sync.Mutex
+		down     bool
+		revision uint64
+		items    []Item // changes, oldest first
+	}
+
+	fakeDecoder struct{}
+)
+
+func (s *fakeStore) set(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) change(id string, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items = append(s.items, Item{Key: id, Revision: s.revision, Gone: gone})
+}
+
+// Read implements Store.
+func (s *fakeStore) Read(ctx context.Context) (*Snapshot, error) {
+	return s.Watch(ctx, 0, 0)
+}
+
+// Watch implements Store.
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*Snapshot, error) {
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		down, revision := s.down, s.revision
+		out := &Snapshot{Revision: revision, Whole: after == 0}
+		for _, item := range s.items {
+			if item.Revision > after {
+				out.Servers = append(out.Servers, item)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, errors.New("store is down")
+		case revision > after || !time.Now().Before(end):
+			return out, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Tables implements Decoder.
+func (fakeDecoder) Tables([]byte) (*resolver.Tables, error) { return nil, errors.New("no tables") }
+
+// Server implements Decoder.
+func (fakeDecoder) Server(i Item) (*lister.Server, error) { return &lister.Server{ID: i.Key}, nil }
+
+func runKeeper(t *testing.T, test func(k *Keeper, s *fakeStore)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		store := &fakeStore{}
+		store.change("a", false)
+		store.change("b", false)
+		k := &Keeper{Store: store, Decoder: fakeDecoder{}, Log: log, OnChange: func() {}, Reads: func() bool { return true }}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			k.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		test(k, store)
+		cancel()
+		<-done
+	})
+}
+
+func isUsed(k *Keeper, id string) bool {
+	_, ok := k.List().Server(id)
+	return ok
+}
+
+// outage takes the store away and returns once this node is served again.
+func outage(k *Keeper, s *fakeStore, length time.Duration) {
+	s.set(true)
+	time.Sleep(length)
+	s.set(false)
+	for !k.IsServed() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Fault: a server was removed 2 s after an outage, while the store was well,
+// and stayed in use for 2.7 s more.
+func TestHoldEndsWithTheTimeToComeBack(t *testing.T) {
+	runKeeper(t, func(k *Keeper, s *fakeStore) {
+		outage(k, s, 5*time.Second)
+		time.Sleep(2 * time.Second)
+		s.change("a", true)
+		time.Sleep(100 * time.Millisecond)
+		if !isUsed(k, "a") {
+			t.Error("server whose entry went 2 s after the outage: got not used, want used for the rest of the time to come back")
+		}
+		time.Sleep(lapseHold - 2*time.Second + sweepInterval)
+		if isUsed(k, "a") {
+			t.Errorf("the same server %v after the outage: got used, want not used", lapseHold+sweepInterval+100*time.Millisecond)
+		}
+	})
+}
+
+// Fault: the store refused this node alone; a removal just after that was
+// taken for one that the outage had caused.
+func TestOutageOfOneNodeHoldsNothing(t *testing.T) {
+	runKeeper(t, func(k *Keeper, s *fakeStore) {
+		stop := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(400 * time.Millisecond):
+					k.PeerServed()
+				}
+			}
+		}()
+		outage(k, s, 9*time.Second)
+		close(stop)
+		time.Sleep(500 * time.Millisecond)
+		s.change("a", true)
+		time.Sleep(100 * time.Millisecond)
+		if isUsed(k, "a") {
+			t.Error("server removed after an outage of one node: got used, want not used")
+		}
+	})
+}
+
+// The word of peers that have not noticed the outage yet does not count.
+func TestEntriesThatExpireInOutageAreHeld(t *testing.T) {
+	runKeeper(t, func(k *Keeper, s *fakeStore) {
+		time.AfterFunc(1200*time.Millisecond, k.PeerServed)
+		s.set(true)
+		time.Sleep(5 * time.Second)
+		s.change("a", true)
+		outage(k, s, 0)
+		time.Sleep(2 * time.Second)
+		if !isUsed(k, "a") {
+			t.Error("server whose entry went in an outage, 2 s after it: got not used, want used")
+		}
+		time.Sleep(time.Second)
+		if isUsed(k, "a") {
+			t.Error("the same server 3 s after the outage: got used, want not used")
+		}
+	})
+}
+
+// What is held here is held as long at peers, and no longer.
+func TestHoldIsPassedOn(t *testing.T) {
+	runKeeper(t, func(k *Keeper, s *fakeStore) {
+		outage(k, s, 5*time.Second)
+		_, before := k.Versions()
+		time.Sleep(2 * time.Second)
+		s.change("a", true)
+		time.Sleep(100 * time.Millisecond)
+		items := k.Since(0, before).Servers
+		if len(items) != 1 || items[0].HeldFor <= 0 || items[0].HeldFor > 500*time.Millisecond {
+			t.Fatalf("items for a peer: got %+v, want one held for less than 500ms", items)
+		}
+	})
+}
--- a/apricotd/keeper/servers.go
+++ b/apricotd/keeper/servers.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// lapseHold is how long a server that disappears during or just after an
-	// outage of the store stays listed: entries expire while nobody can renew
-	// them, and are back about two seconds after the outage.
+	// lapseHold is how long after an outage of the store a server that has
+	// disappeared stays listed: entries expire while nobody can renew them, and
+	// are back about two seconds after the outage.
 	lapseHold = 2500 * time.Millisecond
 	// vouchFor is how long the word of a server's own node counts that the
 	// server is healthy although its entry has gone.
@@ -49,9 +49,6 @@
 		k.revision = max(k.revision, s.Revision)
 		return false
 	}
-	if source != sourceStore {
-		k.heard = time.Now()
-	}
 	listed := make(map[string]bool, len(s.Servers))
 	for _, item := range s.Servers {
 		listed[item.Key] = true
@@ -94,7 +91,7 @@
 		switch {
 		case !e.removed.IsZero():
 			if e.at > servers {
-				s.Servers = append(s.Servers, Item{Key: key, Revision: e.at, Gone: true, Held: now.Before(e.held)})
+				s.Servers = append(s.Servers, Item{Key: key, Revision: e.at, Gone: true, HeldFor: max(0, e.held.Sub(now))})
 			}
 		case s.Whole || e.item.Revision > servers:
 			s.Servers = append(s.Servers, e.item)
@@ -165,8 +162,9 @@
 	}
 	now := time.Now()
 	e.removed, e.at = now, max(item.Revision, revision)
-	if item.Held || now.Sub(k.regained) < lapseHold {
-		e.held = now.Add(lapseHold)
+	e.held = now.Add(item.HeldFor)
+	if back := k.regained.Add(lapseHold); back.After(e.held) {
+		e.held = back
 	}
 }
 
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -58,6 +58,9 @@
 		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: n.beat()}})
 	}
 	n.readers.heard(l.Peer, b.Region, b.Served)
+	if b.Served {
+		n.keeper.PeerServed()
+	}
 	if b.Leaving {
 		n.chooser.Leave(l.Peer)
 	}
@@ -88,7 +91,7 @@
 	out := &linkwire.Snapshot{Tables: deflate(state.Tables), Revision: state.Revision, Whole: state.Whole}
 	for _, item := range state.Servers {
 		out.Items = append(out.Items, &linkwire.Item{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Gone: item.Gone, Held: item.Held,
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Gone: item.Gone, HeldForMs: uint32(item.HeldFor.Milliseconds()),
 		})
 	}
 	l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Snapshot{Snapshot: out}})
@@ -102,7 +105,7 @@
 	state := &keeper.Snapshot{Tables: tables, Revision: s.Revision, Whole: s.Whole}
 	for _, item := range s.Items {
 		state.Servers = append(state.Servers, keeper.Item{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Gone: item.Gone, Held: item.Held,
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Gone: item.Gone, HeldFor: time.Duration(item.HeldForMs) * time.Millisecond,
 		})
 	}
 	n.keeper.Apply(state, l.Peer.String())
