Estimate how much of the demand is to be held back, and where; leave slots free that cost more than they serve

After one pricing server of four was lost, the other in its region was overloaded, with everything held back at the roots, while the two of the other region were half idle (2/14, 5/14, 6/14 running at pressures of 2.0 to 2.4), and idle again for 2 s after each wave.

Causes: the gauger held back from a fill of 1.05, the chooser went to another region from 1.2 on; the pressure was an integral in ranks, although the ranks are unequal shares of the demand; and pricing works up to 1.3 times slower when all slots are in use, which nothing looked for.

Changed: the other region is used from a fill of 0.95; the excess is estimated from rates and taken from the ranks by their share of the demand, for all routes with the same bottleneck; the sizer compares times of service and leaves slots free. Beliefs on load are logged at info.

Ruled out or dropped (docs/DECISIONS.md): longer queues for calls, power laws of the fill.

--- a/apricotd/internal/process/chooser/chooser.go
+++ b/apricotd/internal/process/chooser/chooser.go
@@ -32,7 +32,7 @@
 	// spillDataCentre and spillRegion are the fill up to which the own data
 	// centre and the own region are preferred to what lies further away.
 	spillDataCentre = 0.8
-	spillRegion     = 1.2
+	spillRegion     = 0.95
 	// regionMargin is by how much less full a server of the region must be to
 	// be preferred to one of the own data centre that is above its spill.
 	regionMargin = 0.15
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -1,20 +1,21 @@
 // Package throttler holds requests back at the root of their call trees.
 //
-// Nodes say on every answer how far the route's whole tree is asked for more
-// than it can do: the pressure of the backend server itself, or of whatever
-// its calls lead to. A request that would fail three calls further down is so
-// refused before any work is done for it. The least urgent rank is held back
+// Nodes say on every answer which pool of the route's whole tree is asked for
+// the most beyond what it can do, the bottleneck, and by which part of what is
+// asked of it, the excess. A request that would fail three calls further down is
+// so refused before any work is done for it. Of all requests at this node whose
+// trees lead to one bottleneck, the excess is held back, the least urgent rank
 // first.
 //
 // # Usage
 //
 //	t := &throttler.Throttler{}
-//	t.Hear("search", serverID, pressure)
-//	if t.Holds("search", rank, lowest) { ... }
+//	t.Hear("search", serverID, throttler.Word{Excess: 0.3, Bottleneck: "stock"})
+//	if held, word := t.Holds("search", rank); held { ... }
 //
 // A belief that is not renewed fades within seconds, so that some requests
-// are let through to learn whether it still holds. Memory is one figure for
-// each route and server heard lately.
+// are let through to learn whether it still holds. Memory is one word for each
+// route and server heard lately; a decision takes a step for each route.
 package throttler
 
 import (
@@ -34,61 +35,149 @@
 	fadeHalfLife = time.Second
 	// forgetAfter is when a server's word is dropped.
 	forgetAfter = 5 * time.Second
+	// demandHalfLife is how fast requests of the past lose weight in the mix of
+	// ranks.
+	demandHalfLife = 2 * time.Second
 )
 
 type (
-	// A Throttler holds what this node has heard. Its zero value is ready.
+	// A Word is what a node says of a tree, and what is believed of one.
+	Word struct {
+		Excess     float64
+		Bottleneck string // pool
+	}
+
+	// A Throttler holds what this node has heard and what its callers ask for.
+	// Its zero value is ready.
 	Throttler struct {
 		mu     sync.Mutex
-		routes map[string]map[string]report // by route and server
+		routes map[string]*route
+	}
+
+	route struct {
+		reports    map[string]report // by server
+		bottleneck string            // as last heard
+		heard      time.Time
+		rank       int
+		demand     float64 // callers' requests, decaying
+		asked      time.Time
 	}
 
 	report struct {
-		pressure float64
-		at       time.Time
+		Word
+		at time.Time
 	}
 )
 
 // Hear takes a server's word on a route.
-func (t *Throttler) Hear(route, server string, pressure float64) {
+func (t *Throttler) Hear(name, server string, w Word) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.routes == nil {
-		t.routes = make(map[string]map[string]report)
-	}
-	if t.routes[route] == nil {
-		t.routes[route] = make(map[string]report)
-	}
-	t.routes[route][server] = report{pressure: pressure, at: time.Now()}
+	r := t.route(name)
+	r.reports[server] = report{Word: w, at: time.Now()}
+	r.bottleneck, r.heard = w.Bottleneck, time.Now()
 }
 
-// Pressure returns the mean pressure of a route's trees.
-func (t *Throttler) Pressure(route string) float64 {
+// Believed returns what is believed of a route's trees.
+func (t *Throttler) Believed(name string) Word {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.believed(name, time.Now())
+}
+
+// Holds draws whether a caller's request is held back.
+func (t *Throttler) Holds(name string, rank int) (bool, Word) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	r := t.route(name)
+	r.rank = rank
+	r.demand = r.left(now) + 1
+	r.asked = now
+	w := t.believed(name, now)
+	if w.Excess <= 0 {
+		return false, w
+	}
+	below, same, above := t.mix(w.Bottleneck, rank, now)
+	part := (w.Excess*(below+same+above) - below) / same
+	return rand.Float64() < part, w
+}
+
+// mix returns the demand of all routes with a bottleneck, by ranks less urgent
+// than, the same as and more urgent than one.
+func (t *Throttler) mix(bottleneck string, rank int, now time.Time) (below, same, above float64) {
+	for _, r := range t.routes {
+		if r.bottleneck != bottleneck || r.demand == 0 {
+			continue
+		}
+		switch d := r.left(now); {
+		case r.rank > rank:
+			below += d
+		case r.rank == rank:
+			same += d
+		default:
+			above += d
+		}
+	}
+	return below, same, above
+}
+
+// believed returns the mean of what was heard on the route or, if that is old,
+// on the route with the same bottleneck that was heard last: requests of an
+// urgent rank still bring news while all others are held back.
+func (t *Throttler) believed(name string, now time.Time) Word {
+	r := t.routes[name]
+	if r == nil || now.Sub(r.heard) > forgetAfter {
+		return Word{}
+	}
+	if now.Sub(r.heard) > fadeAfter {
+		r = t.latest(r)
+	}
+	w := r.mean(now)
+	w.Excess *= decayer.Left(max(0, now.Sub(r.heard)-fadeAfter), fadeHalfLife)
+	return w
+}
+
+func (t *Throttler) latest(r *route) *route {
+	for _, other := range t.routes {
+		if other.bottleneck == r.bottleneck && other.heard.After(r.heard) {
+			r = other
+		}
+	}
+	return r
+}
+
+func (t *Throttler) route(name string) *route {
+	if t.routes == nil {
+		t.routes = make(map[string]*route)
+	}
+	r := t.routes[name]
+	if r == nil {
+		r = &route{reports: make(map[string]report)}
+		t.routes[name] = r
+	}
+	return r
+}
+
+// mean weighs the servers' words by age.
+func (r *route) mean(now time.Time) Word {
 	sum, weights := 0.0, 0.0
-	newest := forgetAfter
-	for server, r := range t.routes[route] {
-		age := now.Sub(r.at)
+	for server, rep := range r.reports {
+		age := now.Sub(rep.at)
 		if age > forgetAfter {
-			delete(t.routes[route], server)
+			delete(r.reports, server)
 			continue
 		}
-		newest = min(newest, age)
 		w := decayer.Left(age, reportHalfLife)
-		sum += w * r.pressure
+		sum += w * rep.Excess
 		weights += w
 	}
 	if weights == 0 {
-		return 0
+		return Word{}
 	}
-	return sum / weights * decayer.Left(max(0, newest-fadeAfter), fadeHalfLife)
+	return Word{Excess: sum / weights, Bottleneck: r.bottleneck}
 }
 
-// Holds draws whether a request of a rank is held back; lowest is the least
-// urgent rank of all routes.
-func (t *Throttler) Holds(route string, rank, lowest int) (bool, float64) {
-	p := t.Pressure(route)
-	return rand.Float64() < p-float64(lowest-rank), p
+func (r *route) left(now time.Time) float64 {
+	return r.demand * decayer.Left(now.Sub(r.asked), demandHalfLife)
 }
--- /dev/null
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -0,0 +1,67 @@
+package throttler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// ask lets requests come by turns and returns the part of each that is held.
+func ask(t *Throttler, ranks map[string]int, rounds int, hear func()) map[string]float64 {
+	held := make(map[string]float64)
+	for range rounds {
+		for name, rank := range ranks {
+			hear()
+			if h, _ := t.Holds(name, rank); h {
+				held[name] += 1 / float64(rounds)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	return held
+}
+
+// Pattern: a pool below two routes is asked for twice what it can do. The
+// excess comes out of the less urgent route, and a route that leads elsewhere
+// pays nothing.
+func TestLeastUrgentIsHeldBackFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		th := &Throttler{}
+		excess := 0.25
+		hear := func() {
+			th.Hear("search", "s1", Word{Excess: excess, Bottleneck: "stock"})
+			th.Hear("order", "o1", Word{Excess: excess, Bottleneck: "stock"})
+			th.Hear("page", "p1", Word{Excess: 0, Bottleneck: "pages"})
+		}
+		ranks := map[string]int{"search": 2, "order": 0, "page": 2}
+		ask(th, ranks, 500, hear)
+		got := ask(th, ranks, 2000, hear)
+		if got["search"] < 0.45 || got["search"] > 0.55 || got["order"] > 0 || got["page"] > 0 {
+			t.Errorf("held back at an excess of 0.25: got %v, want half of the searches and nothing else", got)
+		}
+		excess = 0.75
+		got = ask(th, ranks, 2000, hear)
+		if got["search"] < 0.999 || got["order"] < 0.45 || got["order"] > 0.55 || got["page"] > 0 {
+			t.Errorf("held back at an excess of 0.75: got %v, want all searches and half of the orders", got)
+		}
+	})
+}
+
+// While all searches are held back, only orders bring news of the bottleneck.
+func TestHeldRouteLearnsFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		th := &Throttler{}
+		th.Hear("search", "s1", Word{Excess: 0.9, Bottleneck: "stock"})
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			th.Hear("order", "o1", Word{Excess: 0.6, Bottleneck: "stock"})
+		}
+		if got := th.Believed("search").Excess; got != 0.6 {
+			t.Errorf("excess believed of searches: got %.2f, want 0.60 as orders say", got)
+		}
+		time.Sleep(forgetAfter)
+		if got := th.Believed("search").Excess; got != 0 {
+			t.Errorf("excess without any news: got %.2f, want 0", got)
+		}
+	})
+}
--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -9,6 +9,7 @@
 
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/process/chooser"
+	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/request/performer"
 	"apricotrudder.dev/wire/linkwire"
 )
@@ -73,7 +74,7 @@
 	o, report := d.read(rq, result)
 	c.Done(report)
 	if load := result.GetLoad(); load != nil {
-		d.Throttler.Hear(rq.route.Name, c.Server.ID, load.Pressure)
+		d.Throttler.Hear(rq.route.Name, c.Server.ID, throttler.Word{Excess: load.Excess, Bottleneck: load.Bottleneck})
 	}
 	return o
 }
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -57,7 +57,7 @@
 	// server, for which work has already been done.
 	callPatienceShare = 2
 	// throttleWait is what callers are asked to wait whose requests are held
-	// back: long enough for the pressure to follow, short enough to be in time.
+	// back: long enough for the excess to follow, short enough to be in time.
 	throttleWait = 600 * time.Millisecond
 	// minCallsPerRun is the least estimate that is taken for a call at all.
 	minCallsPerRun = 0.15
@@ -160,7 +160,7 @@
 	if d.Quarantine.Any() && d.Quarantine.Holds(quarantiner.Fingerprint(rq.Method, rq.Host, rq.Target, rq.Body)) {
 		return refused{reason: performer.Quarantined, detail: "backend servers crashed that ran it", retryAfter: performer.QuarantineWait}
 	}
-	if o := d.throttle(rq, tables); o != nil {
+	if o := d.throttle(rq); o != nil {
 		return o
 	}
 	rq.fields = d.fields(rq)
@@ -186,36 +186,37 @@
 
 // throttle refuses a caller's request whose tree has no room for its rank. A
 // call of a backend server goes on: work has been done for it already.
-func (d *Director) throttle(rq *request, tables *resolver.Resolver) outcome {
+func (d *Director) throttle(rq *request) outcome {
 	if rq.isCall {
 		d.Tracer.Call(rq.route.Name)
 		return nil
 	}
-	holds, pressure := d.Throttler.Holds(rq.route.Name, rq.rank, tables.LowestRank())
-	if !holds {
+	held, word := d.Throttler.Holds(rq.route.Name, rq.rank)
+	if !held {
 		return nil
 	}
 	return refused{
 		reason:     reasonThrottled,
-		detail:     fmt.Sprintf("pressure %.2f on the route's tree", pressure),
+		detail:     fmt.Sprintf("pool %s, to which the request leads, is asked for more than it can do; %.2f is held back", word.Bottleneck, word.Excess),
 		retryAfter: throttleWait,
 	}
 }
 
-// Downstream returns the pressure of what the calls of a route lead to, as the
-// own backend server makes them.
-func (d *Director) Downstream(route string) float64 {
-	tables := d.Resolver()
-	if tables == nil {
-		return 0
-	}
-	highest := 0.0
+// Downstream returns the greatest excess of the pools to which the calls lead
+// that the own backend server makes for a route.
+func (d *Director) Downstream(route string) throttler.Word {
+	var greatest throttler.Word
 	for _, call := range d.Tracer.Calls(route) {
-		if call.PerRun >= minCallsPerRun {
-			highest = max(highest, min(1, call.PerRun)*d.Throttler.Pressure(call.Name))
+		if call.PerRun < minCallsPerRun {
+			continue
+		}
+		word := d.Throttler.Believed(call.Name)
+		word.Excess *= min(1, call.PerRun)
+		if word.Excess > greatest.Excess {
+			greatest = word
 		}
 	}
-	return highest
+	return greatest
 }
 
 func (d *Director) identify(rq *request, tables *resolver.Resolver) outcome {
@@ -264,12 +265,13 @@
 
 // A Belief is what this node believes of one route.
 type Belief struct {
-	Route    string        `json:"route"`
-	Pressure float64       `json:"pressure"` // heard from its servers
-	Calls    []tracer.Call `json:"calls,omitempty"`
+	Route      string        `json:"route"`
+	Excess     float64       `json:"excess"`
+	Bottleneck string        `json:"bottleneck,omitempty"`
+	Calls      []tracer.Call `json:"calls,omitempty"`
 }
 
-// Beliefs returns what this node believes of all routes with any pressure or
+// Beliefs returns what this node believes of all routes with any excess or
 // calls.
 func (d *Director) Beliefs() []Belief {
 	tables := d.Resolver()
@@ -278,8 +280,9 @@
 	}
 	var out []Belief
 	for _, r := range tables.Tables.Routes {
-		b := Belief{Route: r.Name, Pressure: d.Throttler.Pressure(r.Name), Calls: d.Tracer.Calls(r.Name)}
-		if b.Pressure > 0 || len(b.Calls) > 0 {
+		word := d.Throttler.Believed(r.Name)
+		b := Belief{Route: r.Name, Excess: word.Excess, Bottleneck: word.Bottleneck, Calls: d.Tracer.Calls(r.Name)}
+		if b.Excess > 0 || len(b.Calls) > 0 {
 			out = append(out, b)
 		}
 	}
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -30,6 +30,8 @@
 	"apricotrudder.dev/apricotd/internal/process/gauger"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
+	"apricotrudder.dev/apricotd/internal/process/sizer"
+	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tracer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/checker"
@@ -74,17 +76,19 @@
 	Admitter   *admitter.Admitter
 	Identifier *identifier.Identifier
 	Gauger     *gauger.Gauger
+	Sizer      *sizer.Sizer
 	Tracer     *tracer.Tracer
 	Quarantine *quarantiner.Quarantiner
 	// OnBroken is called when the server has ended a connection without an
 	// answer.
 	OnBroken func()
-	// Downstream returns the pressure of what a route's calls lead to.
-	Downstream func(route string) float64
+	// Downstream returns what is believed of the pools to which a route's calls
+	// lead.
+	Downstream func(route string) throttler.Word
 
 	leaving atomic.Bool
 	waiting atomic.Int64
-	slots   atomic.Int64
+	limit   atomic.Int64 // requests that may run at once
 	service atomic.Int64 // mean time of service, nanoseconds
 }
 
@@ -93,7 +97,14 @@
 
 // SetSlots follows the server's entry.
 func (p *Performer) SetSlots(n int) {
-	if p.slots.Swap(int64(n)) != int64(n) {
+	p.Sizer.SetSlots(n)
+	p.size()
+}
+
+// size admits as many requests at once as the server does best with.
+func (p *Performer) size() {
+	n := p.Sizer.Limit()
+	if p.limit.Swap(int64(n)) != int64(n) {
 		p.Admitter.SetLimit(n)
 	}
 }
@@ -104,7 +115,7 @@
 	return &linkwire.Load{
 		Running:   uint32(running),
 		Waiting:   uint32(p.waiting.Load()),
-		Slots:     uint32(p.slots.Load()),
+		Slots:     uint32(p.limit.Load()),
 		Leaving:   p.isLeaving(),
 		ServiceMs: float64(p.service.Load()) / float64(time.Millisecond),
 	}
@@ -117,10 +128,21 @@
 	defer cancel()
 	result := p.admit(ctx, run, deadline)
 	result.Load = p.Load()
-	result.Load.Pressure = max(p.Gauger.Pressure(), p.Downstream(run.Route))
+	word := p.word(run)
+	result.Load.Excess, result.Load.Bottleneck = word.Excess, word.Bottleneck
 	return result
 }
 
+// word tells which pool of the request's tree is asked for the most beyond what
+// it can do.
+func (p *Performer) word(run *linkwire.Run) throttler.Word {
+	own := throttler.Word{Excess: p.Gauger.Excess(), Bottleneck: run.Pool}
+	if below := p.Downstream(run.Route); below.Excess > own.Excess {
+		return below
+	}
+	return own
+}
+
 func (p *Performer) admit(ctx context.Context, run *linkwire.Run, deadline time.Time) *linkwire.Result {
 	if refusal := p.check(run); refusal != nil {
 		return refusal
@@ -145,13 +167,18 @@
 		}
 		return result
 	}
+	p.Gauger.Arrived()
 	begun := time.Now()
+	running, _ := p.Admitter.Load()
 	end := p.Tracer.Begin(run.Route)
 	result := p.perform(ctx, run, deadline)
 	end()
 	answered := result.GetAnswer() != nil
 	if answered {
-		p.observe(time.Since(begun))
+		took := time.Since(begun)
+		p.observe(took)
+		p.Sizer.Saw(run.Route, running, took)
+		p.size()
 		if p.Quarantine.Any() {
 			p.Quarantine.Clear(fingerprint(run))
 		}
--- a/apricotd/mesher/beliefs.go
+++ b/apricotd/mesher/beliefs.go
@@ -27,9 +27,9 @@
 			"waiting":    load.Waiting,
 			"slots":      load.Slots,
 			"serviceMs":  load.ServiceMs,
-			"pressure":   n.gauger.Pressure(),
+			"excess":     n.gauger.Excess(),
 			"downstream": n.director.Beliefs(),
 		}
-		n.Log.WithFields(fields).Debug("beliefs on load")
+		n.Log.WithFields(fields).Info("beliefs on load")
 	}
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -40,6 +40,7 @@
 	"apricotrudder.dev/apricotd/internal/process/identifier"
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/rationer"
+	"apricotrudder.dev/apricotd/internal/process/sizer"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tracer"
 	"apricotrudder.dev/apricotd/internal/request/director"
@@ -182,10 +183,11 @@
 		Admitter:   &admitter.Admitter{},
 		Identifier: n.identifier,
 		Gauger:     n.gauger,
+		Sizer:      &sizer.Sizer{},
 		Tracer:     n.tracer,
 		Quarantine: n.quarantine,
 		OnBroken:   n.confirmCrash,
-		Downstream: func(route string) float64 { return n.director.Downstream(route) },
+		Downstream: func(route string) throttler.Word { return n.director.Downstream(route) },
 	}
 	n.performer.SetSlots(defaultSlots)
 	n.linker = &linker.Linker{
@@ -244,9 +246,14 @@
 	}
 }
 
-func (n *Node) ownLoad() (running, waiting, slots int) {
+func (n *Node) ownLoad() gauger.Load {
 	load := n.performer.Load()
-	return int(load.Running), int(load.Waiting), int(load.Slots)
+	return gauger.Load{
+		Running: int(load.Running),
+		Waiting: int(load.Waiting),
+		Slots:   int(load.Slots),
+		Service: time.Duration(load.ServiceMs * float64(time.Millisecond)),
+	}
 }
 
 func (n *Node) ownPool() string { return *n.pool.Load() }
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -93,7 +93,6 @@
 		routes map[string]map[string]*Route // by host and prefix
 		keys   map[string]*Organisation
 		names  map[string]*Organisation
-		lowest int
 	}
 )
 
@@ -106,7 +105,6 @@
 		names:  make(map[string]*Organisation),
 	}
 	for _, route := range t.Routes {
-		r.lowest = max(r.lowest, route.Rank)
 		if r.routes[route.Host] == nil {
 			r.routes[route.Host] = make(map[string]*Route)
 		}
@@ -153,11 +151,6 @@
 	return o, ok
 }
 
-// LowestRank returns the rank of the least urgent routes.
-func (r *Resolver) LowestRank() int {
-	return r.lowest
-}
-
 // NeedsKeys tells whether routes that are not open need a key.
 func (r *Resolver) NeedsKeys() bool {
 	return len(r.Tables.Organisations) > 0
