Open a link for what keepers of rates tell each other

Cause, from a trace with grants printed: a VM that joined at 3.8 s became the keeper of an organisation in its region. Frames that belong to no exchange were dropped where no link existed, and this VM had none to the other region's keeper; neither heard the other, so the one kept half of the rate and the other rose to 0.87 of it. The old keeper of the region, which some nodes still asked because they passed over the address of the VM that had been there, had 0.13 besides.

Ruled out: answers sent again (few), the depth of new buckets.

Mended: such a frame opens a link.

--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -156,11 +156,21 @@
 	return frame.GetGrant(), nil
 }
 
-// SendTo sends a frame that belongs to no exchange, if the peer has a link.
+// SendTo sends a frame that belongs to no exchange. If the peer has no link, one
+// is opened in the background; the frame is lost if that fails.
 func (l *Linker) SendTo(address netip.Addr, frame *linkwire.Frame) {
 	if link := l.onePerPeer()[address]; link != nil {
 		link.Send(frame)
+		return
 	}
+	go func() {
+		link, err := l.peer(address).open(l.ctx)
+		if err != nil {
+			l.Log.WithError(err).WithField("peer", address).Debug("frame not sent")
+			return
+		}
+		link.Send(frame)
+	}()
 }
 
 func (l *Linker) exchange(ctx context.Context, address netip.Addr, frame *linkwire.Frame) (*linkwire.Frame, error) {
