Hold back by the excess of the pool, not of each server

Two clearance servers were left, a slow one (100 ms a request) with an excess of 0.4 to 0.85, and a quick one (35 ms) with 3 to 7 of its 11 slots in use; the mean of both held requests back.

Cause: each server told only its own lack, and none its room; and each took what it held back for what was really held back.

Changed: a server tells a negative excess when it has room, and what is asked of it, by which words are weighed; requests tell the part that is held back of those like them.

--- a/apricotd/internal/process/gauger/gauger.go
+++ b/apricotd/internal/process/gauger/gauger.go
@@ -1,28 +1,27 @@
 // Package gauger measures how far a backend server is asked for more than it
 // can do.
 //
-// The result is the excess: the part of the requests, 0 to 1, that is to be held
-// back at the roots of their call trees so that the server is just full. What
-// comes was let through under the excess of a moment ago, so the rate of arrivals
-// divided by the part let through then is what is asked for, and the rate at
-// which the server works divided by that is what to let through now. The fill
-// corrects this: a queue that is longer than wanted lets less through, free
-// slots more.
+// The result is the excess: the part of what is asked for that is to be held
+// back at the roots of the call trees so that the server is just full. It is
+// negative for a server that could do more. Senders say which part was held back
+// when a request was let through, so the rate of arrivals divided by the rest is
+// what is asked for, and the rate at which the server works divided by that is
+// the part to let through now. The queue corrects this: one that is longer than
+// wanted lets less through, free slots more.
 //
 // # Usage
 //
 //	g := &gauger.Gauger{Load: load}
 //	go g.Run(ctx)
-//	g.Arrived()
+//	g.Arrived(held)
 //	g.Refused()
-//	e := g.Excess()
+//	e, d := g.Excess(), g.Demand()
 package gauger
 
 import (
 	"context"
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -42,8 +41,11 @@
 	utilisation = 0.98
 	// maxRatio bounds the ratios in one step.
 	maxRatio = 4.0
-	// minThrough is always let through, to see when the overload ends.
-	minThrough = 0.05
+	// MaxHeld is the largest part that is held back; the rest shows when the
+	// overload ends.
+	MaxHeld = 0.95
+	// minExcess is the least excess, of a server that has hardly anything to do.
+	minExcess = -3.0
 )
 
 type (
@@ -62,25 +64,47 @@
 		// Load returns the load of the moment.
 		Load func() Load
 
-		arrived atomic.Int64
-		refused atomic.Int64
-		excess  atomic.Uint64 // bits of a float64
-
 		mu       sync.Mutex
+		arrived  int     // since the last step
+		refused  int     // since the last step
+		heldSum  float64 // parts held back, of those that arrived
 		present  float64 // mean, running and waiting
 		arrivals float64 // mean, a second
-		held     float64 // mean excess
+		held     float64 // mean
+		excess   float64
+		demand   float64
 	}
 )
 
-// Arrived records a request that found room.
-func (g *Gauger) Arrived() { g.arrived.Add(1) }
+// Arrived records a request that found room, and the part of those like it that
+// is held back.
+func (g *Gauger) Arrived(held float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.arrived++
+	g.heldSum += max(0, min(MaxHeld, held))
+}
 
 // Refused records a request that found no room.
-func (g *Gauger) Refused() { g.refused.Add(1) }
+func (g *Gauger) Refused() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refused++
+}
 
-// Excess returns the part of the requests that is to be held back.
-func (g *Gauger) Excess() float64 { return math.Float64frombits(g.excess.Load()) }
+// Excess returns the part of what is asked for that the server cannot do.
+func (g *Gauger) Excess() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.excess
+}
+
+// Demand returns what is asked for, in requests per second.
+func (g *Gauger) Demand() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.demand
+}
 
 // Run measures until the context ends.
 func (g *Gauger) Run(ctx context.Context) {
@@ -99,23 +123,26 @@
 // Step takes one measurement, a time after the last.
 func (g *Gauger) Step(passed time.Duration) {
 	load := g.Load()
-	refused, arrived := float64(g.refused.Swap(0)), float64(g.arrived.Swap(0))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	arrived, refused, heldSum := float64(g.arrived), float64(g.refused), g.heldSum
+	g.arrived, g.refused, g.heldSum = 0, 0, 0
 	if load.Slots <= 0 || load.Service <= 0 {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	seconds := passed.Seconds()
 	// What was refused would have filled slots for its time of service.
 	offered := float64(load.Running+load.Waiting) + refused*load.Service.Seconds()/seconds
 	g.present += (offered - g.present) * presentSmoothing
 	g.arrivals += ((arrived+refused)/seconds - g.arrivals) * smoothing
+	if arrived > 0 {
+		g.held += (heldSum/arrived - g.held) * smoothing
+	}
+	g.demand = g.arrivals / (1 - g.held)
 	capacity := float64(load.Slots) / load.Service.Seconds()
 	correction := 1 + (wanted(load.Slots)-g.present)/(capacity*correctWithin.Seconds())
-	through := (1 - g.held) * bound(utilisation*capacity/g.arrivals) * bound(correction)
-	excess := 1 - max(minThrough, min(1, through))
-	g.held += (excess - g.held) * smoothing
-	g.excess.Store(math.Float64bits(excess))
+	through := bound(utilisation*capacity/g.demand) * bound(correction)
+	g.excess = max(minExcess, min(MaxHeld, 1-through))
 }
 
 // bound also stands for the ratios by zero.
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -11,7 +11,7 @@
 //
 //	t := &throttler.Throttler{}
 //	t.Hear("search", serverID, throttler.Word{Excess: 0.3, Bottleneck: "stock"})
-//	if held, word := t.Holds("search", rank); held { ... }
+//	if part, word := t.Holds("search", rank); rand.Float64() < part { ... }
 //
 // A belief that is not renewed fades within seconds, so that some requests
 // are let through to learn whether it still holds. Memory is one word for each
@@ -19,7 +19,6 @@
 package throttler
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +34,9 @@
 	fadeHalfLife = time.Second
 	// forgetAfter is when a server's word is dropped.
 	forgetAfter = 5 * time.Second
+	// minWeight is the weight of a server of which hardly anything is asked, in
+	// requests per second.
+	minWeight = 1.0
 	// demandHalfLife is how fast requests of the past lose weight in the mix of
 	// ranks.
 	demandHalfLife = 2 * time.Second
@@ -43,8 +45,11 @@
 type (
 	// A Word is what a node says of a tree, and what is believed of one.
 	Word struct {
+		// Excess is negative if the pool could do more than it is asked for.
 		Excess     float64
 		Bottleneck string // pool
+		// Weight is how much is asked of the server that says so.
+		Weight float64
 	}
 
 	// A Throttler holds what this node has heard and what its callers ask for.
@@ -85,8 +90,9 @@
 	return t.believed(name, time.Now())
 }
 
-// Holds draws whether a caller's request is held back.
-func (t *Throttler) Holds(name string, rank int) (bool, Word) {
+// Holds returns the part of the callers' requests like this one that is to be
+// held back, and why.
+func (t *Throttler) Holds(name string, rank int) (part float64, w Word) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -94,13 +100,12 @@
 	r.rank = rank
 	r.demand = r.left(now) + 1
 	r.asked = now
-	w := t.believed(name, now)
+	w = t.believed(name, now)
 	if w.Excess <= 0 {
-		return false, w
+		return 0, w
 	}
 	below, same, above := t.mix(w.Bottleneck, rank, now)
-	part := (w.Excess*(below+same+above) - below) / same
-	return rand.Float64() < part, w
+	return max(0, min(1, (w.Excess*(below+same+above)-below)/same)), w
 }
 
 // mix returns the demand of all routes with a bottleneck, by ranks less urgent
@@ -159,7 +164,8 @@
 	return r
 }
 
-// mean weighs the servers' words by age.
+// mean weighs the servers' words by age and by what is asked of each, so that a
+// pool is not short of room while one of its servers is and the others have it.
 func (r *route) mean(now time.Time) Word {
 	sum, weights := 0.0, 0.0
 	for server, rep := range r.reports {
@@ -168,7 +174,7 @@
 			delete(r.reports, server)
 			continue
 		}
-		w := decayer.Left(age, reportHalfLife)
+		w := decayer.Left(age, reportHalfLife) * max(minWeight, rep.Weight)
 		sum += w * rep.Excess
 		weights += w
 	}
--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -74,7 +74,7 @@
 	o, report := d.read(rq, result)
 	c.Done(report)
 	if load := result.GetLoad(); load != nil {
-		d.Throttler.Hear(rq.route.Name, c.Server.ID, throttler.Word{Excess: load.Excess, Bottleneck: load.Bottleneck})
+		d.Throttler.Hear(rq.route.Name, c.Server.ID, throttler.Word{Excess: load.Excess, Bottleneck: load.Bottleneck, Weight: load.Demand})
 	}
 	return o
 }
@@ -96,6 +96,7 @@
 		PatienceMs:  uint32(rq.patience(left).Milliseconds()),
 		Route:       rq.route.Name,
 		Preference:  uint32(max(0, rq.preference)),
+		Held:        rq.held,
 	}
 	if o := rq.organisation; o != nil {
 		run.Organisation, run.Weight = o.Name, o.Rate
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -16,6 +16,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -107,7 +109,8 @@
 		organisation *resolver.Organisation
 		version      uint64
 		rank         int
-		preference   int // order within the rank, by organisation
+		preference   int     // order within the rank, by organisation
+		held         float64 // part of the requests like this that is held back
 		deadline     time.Time
 		fields       []*linkwire.Field
 		isCall       bool
@@ -189,10 +192,12 @@
 func (d *Director) throttle(rq *request) outcome {
 	if rq.isCall {
 		d.Tracer.Call(rq.route.Name)
+		rq.held = max(0, d.Throttler.Believed(rq.route.Name).Excess)
 		return nil
 	}
-	held, word := d.Throttler.Holds(rq.route.Name, rq.rank)
-	if !held {
+	part, word := d.Throttler.Holds(rq.route.Name, rq.rank)
+	rq.held = part
+	if rand.Float64() >= part {
 		return nil
 	}
 	return refused{
@@ -205,14 +210,14 @@
 // Downstream returns the greatest excess of the pools to which the calls lead
 // that the own backend server makes for a route.
 func (d *Director) Downstream(route string) throttler.Word {
-	var greatest throttler.Word
+	greatest := throttler.Word{Excess: math.Inf(-1)}
 	for _, call := range d.Tracer.Calls(route) {
 		if call.PerRun < minCallsPerRun {
 			continue
 		}
 		word := d.Throttler.Believed(call.Name)
 		word.Excess *= min(1, call.PerRun)
-		if word.Excess > greatest.Excess {
+		if word.Bottleneck != "" && word.Excess > greatest.Excess {
 			greatest = word
 		}
 	}
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -129,7 +129,7 @@
 	result := p.admit(ctx, run, deadline)
 	result.Load = p.Load()
 	word := p.word(run)
-	result.Load.Excess, result.Load.Bottleneck = word.Excess, word.Bottleneck
+	result.Load.Excess, result.Load.Bottleneck, result.Load.Demand = word.Excess, word.Bottleneck, p.Gauger.Demand()
 	return result
 }
 
@@ -137,7 +137,7 @@
 // it can do.
 func (p *Performer) word(run *linkwire.Run) throttler.Word {
 	own := throttler.Word{Excess: p.Gauger.Excess(), Bottleneck: run.Pool}
-	if below := p.Downstream(run.Route); below.Excess > own.Excess {
+	if below := p.Downstream(run.Route); below.Bottleneck != "" && below.Excess > own.Excess {
 		return below
 	}
 	return own
@@ -167,7 +167,7 @@
 		}
 		return result
 	}
-	p.Gauger.Arrived()
+	p.Gauger.Arrived(run.Held)
 	begun := time.Now()
 	running, _ := p.Admitter.Load()
 	end := p.Tracer.Begin(run.Route)
