--- a/apricotd/internal/process/budgeter/budgeter.go
+++ b/apricotd/internal/process/budgeter/budgeter.go
@@ -98,6 +98,18 @@
 	return true
 }
 
+// Left returns how many requests of each pool may be sent again now.
+func (b *Budgeter) Left() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot := b.slot()
+	out := make(map[string]float64, len(b.pools))
+	for name, p := range b.pools {
+		out[name] = max(0, b.limit(p, slot)-float64(p.repeats.sum(slot)))
+	}
+	return out
+}
+
 func (b *Budgeter) limit(p *pool, slot int64) float64 {
 	share := b.Allowance / float64(max(b.Nodes(), 1))
 	return safety * (share + b.Ratio*float64(p.requests.sum(slot)))
--- a/apricotd/internal/process/rationer/bucket.go
+++ b/apricotd/internal/process/rationer/bucket.go
@@ -112,6 +112,21 @@
 	return b
 }
 
+// Shares returns the own region's part of the rate of each organisation whose
+// bucket this node keeps.
+func (r *Rationer) Shares() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	out := make(map[string]float64, len(r.buckets))
+	for name, b := range r.buckets {
+		if b.demandAt(now) >= minDemand {
+			out[name] = r.share(name, b, now)
+		}
+	}
+	return out
+}
+
 // share returns the own region's part of an organisation's rate. Computing
 // with what the others were told keeps the shares of all regions from adding
 // up to more than one while demand rises. A region that says nothing counts by
--- a/apricotd/internal/process/recorder/recorder.go
+++ b/apricotd/internal/process/recorder/recorder.go
@@ -41,7 +41,8 @@
 
 	once      sync.Once
 	lines     chan []byte
-	dropped   atomic.Int64
+	dropped   atomic.Int64 // since this was last said
+	leftOut   atomic.Int64 // since the start
 	allowance float64
 	last      time.Time
 	buffer    bytes.Buffer
@@ -53,11 +54,19 @@
 	select {
 	case r.lines <- bytes.Clone(line):
 	default:
-		r.dropped.Add(1)
+		r.drop()
 	}
 	return len(line), nil
 }
 
+// LeftOut returns how many lines were left out since the start.
+func (r *Recorder) LeftOut() int64 { return r.leftOut.Load() }
+
+func (r *Recorder) drop() {
+	r.dropped.Add(1)
+	r.leftOut.Add(1)
+}
+
 // Run writes lines until the context ends, and then those that still wait.
 func (r *Recorder) Run(ctx context.Context) {
 	r.init()
@@ -108,7 +117,7 @@
 		reserve = burstBytes / 2
 	}
 	if r.allowance-reserve < float64(len(line)) {
-		r.dropped.Add(1)
+		r.drop()
 		return
 	}
 	r.allowance -= float64(len(line))
--- a/apricotd/keeper/keeper.go
+++ b/apricotd/keeper/keeper.go
@@ -113,6 +113,7 @@
 		mu       sync.Mutex
 		entries  map[string]*entry
 		revision uint64
+		tablesAt time.Time // when the tables in force came
 		complete uint64    // revision from which all removals are remembered
 		answered time.Time // when the store last answered
 		failing  time.Time // since when it does not answer; zero: it does
@@ -146,6 +147,28 @@
 	return k.failing.IsZero() && time.Since(k.answered) < healthyFor
 }
 
+// TablesAge returns how long ago the tables in force were put in force here;
+// zero if there are none.
+func (k *Keeper) TablesAge() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.tablesAt.IsZero() {
+		return 0
+	}
+	return time.Since(k.tablesAt)
+}
+
+// StoreSilence returns for how long the store has left this node's calls
+// unanswered; zero if it answers, or is not asked.
+func (k *Keeper) StoreSilence() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.failing.IsZero() {
+		return 0
+	}
+	return time.Since(k.failing)
+}
+
 // Run reads and watches while it is this node's turn, until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	go k.sweep(ctx)
@@ -280,6 +303,7 @@
 		return false
 	}
 	k.resolver.Store(resolver.New(tables))
+	k.tablesAt = time.Now()
 	log.WithField("version", tables.Version).Info("tables in force")
 	return true
 }
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +11,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
+
+	"apricotrudder.dev/apricotd/internal/process/recorder"
 )
 
 const (
@@ -33,11 +36,23 @@
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.WritePrometheus(w)
+		n.writeByName(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	return serve(ctx, listener, r)
 }
 
+// writeByName writes the gauges of pools and organisations, which come and go
+// with the tables.
+func (n *Node) writeByName(w io.Writer) {
+	for pool, left := range n.director.Budget.Left() {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_retry_budget_left{pool=%q}`, pool), left)
+	}
+	for organisation, share := range n.rationer.Shares() {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_rate_share{organisation=%q}`, organisation), share)
+	}
+}
+
 func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
@@ -51,6 +66,13 @@
 	n.metrics.NewGauge("apricot_requests_in_flight", func() float64 { return float64(n.performer.Load().Running) })
 	n.metrics.NewGauge("apricot_requests_waiting", func() float64 { return float64(n.performer.Load().Waiting) })
 	n.metrics.NewGauge("apricot_concurrency_limit", func() float64 { return float64(n.performer.Load().Slots) })
+	n.metrics.NewGauge("apricot_excess_ratio", n.gauger.Excess)
+	n.metrics.NewGauge("apricot_demand_requests_per_second", n.gauger.Demand)
+	n.metrics.NewGauge("apricot_config_age_seconds", func() float64 { return n.keeper.TablesAge().Seconds() })
+	n.metrics.NewGauge("apricot_store_silence_seconds", func() float64 { return n.keeper.StoreSilence().Seconds() })
+	if r, ok := n.Log.Out.(*recorder.Recorder); ok {
+		n.metrics.NewGauge("apricot_log_lines_left_out", func() float64 { return float64(r.LeftOut()) })
+	}
 	n.metrics.NewGauge("apricot_callers_active", func() float64 { return float64(n.acceptor.Active()) })
 	n.metrics.NewGauge("apricot_peers_linked", func() float64 { return float64(n.linker.Peers()) })
 	n.metrics.NewGauge("apricot_config_version", func() float64 {
--- a/apricotd/mesher/requests_test.go
+++ b/apricotd/mesher/requests_test.go
@@ -284,3 +284,35 @@
 		}
 	})
 }
+
+func TestMetricsTellWhatANodeBelieves(t *testing.T) {
+	runFleet(t, oneOrder, func(f *fleet) {
+		for range 20 {
+			f.send("a", f.message("POST", "shop.example", "/order/1", "x"))
+		}
+		a := f.vms["a"].address
+		nc, err := f.network.Dial(f.t.Context(), a, netip.AddrPortFrom(a, operatorsPort))
+		if err != nil {
+			t.Fatalf("dial metrics: %v", err)
+		}
+		defer nc.Close()
+		if _, err := io.WriteString(nc, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); err != nil {
+			t.Fatalf("ask for metrics: %v", err)
+		}
+		body := readReply(bufio.NewReader(nc), "GET").body
+		for _, want := range []string{
+			`apricot_requests_total{route="order",outcome="answered"} 20`,
+			`apricot_retry_budget_left{pool="orders"}`,
+			"apricot_excess_ratio ",
+			"apricot_demand_requests_per_second ",
+			"apricot_config_version 1",
+			"apricot_config_age_seconds ",
+			"apricot_store_silence_seconds 0",
+			"process_resident_memory_bytes ",
+		} {
+			if !strings.Contains(body, want) {
+				t.Errorf("metrics: got no line with %q, want one", want)
+			}
+		}
+	})
+}
