--- a/apricotd/internal/process/budgeter/budgeter.go
+++ b/apricotd/internal/process/budgeter/budgeter.go
@@ -9,6 +9,7 @@
 //
 //	b := &budgeter.Budgeter{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50, Nodes: nodes}
 //	b.Count(pool)             // a caller's request
+//	b.Owe(pool, 0.1)          // a call that is a repeat with this probability
 //	if b.Spend(pool, isCall) { ... }  // one request may be sent again
 package budgeter
 
@@ -20,18 +21,17 @@
 const (
 	// slots divides the window; counts age by one slot at a time.
 	slots = 10
-	// safety is the part of the budget that is used. The rest covers the
-	// calls that a repeated request makes again, which count as repeats too.
-	safety = 0.6
+	// safety is the part of the budget that is used. The rest is for nodes that
+	// differ on their number, for spans that end within a slot, and for what was
+	// spent before a restart.
+	safety = 0.8
+	// startShare is the part of a node's allowance that it has at its start.
+	startShare = 0.5
 	// callShare is the part of the budget that calls of backend servers may
-	// use. A call is one of several that its request needs, so a repeat of it
-	// saves less than one of a caller's request.
+	// always use; of the rest, they may use what callers' requests have not
+	// asked for. A call is one of several that its request needs, so a repeat of
+	// it saves less than one of a caller's request.
 	callShare = 0.5
-	// refusingFrom is the part of requests that a pool turns away from which
-	// calls are not repeated at all: they would need luck several times.
-	refusingFrom = 0.25
-	// outcomeGain is the weight of one outcome in the mean.
-	outcomeGain = 0.02
 )
 
 type (
@@ -52,12 +52,12 @@
 	pool struct {
 		requests counter
 		repeats  counter
-		refusing float64 // mean of requests that were turned away
+		wanted   counter // repeats that callers' requests asked for
 	}
 
 	// A counter counts events of the last window.
 	counter struct {
-		counts [slots]int
+		counts [slots]float64
 		last   int64 // number of the newest slot
 	}
 )
@@ -66,19 +66,18 @@
 func (b *Budgeter) Count(name string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pool(name).requests.add(b.slot())
+	b.pool(name).requests.add(b.slot(), 1)
 }
 
-// Saw records whether a backend server of the pool turned a request away.
-func (b *Budgeter) Saw(name string, refused bool) {
+// Owe records a call that goes out anyway and is a repeat with a probability,
+// since the run that makes it may be one.
+func (b *Budgeter) Owe(name string, probability float64) {
+	if probability <= 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sample := 0.0
-	if refused {
-		sample = 1
-	}
-	p := b.pool(name)
-	p.refusing += (sample - p.refusing) * outcomeGain
+	b.pool(name).repeats.add(b.slot(), probability)
 }
 
 // Spend records a repeat if the budget has room for it.
@@ -89,12 +88,14 @@
 	p := b.pool(name)
 	limit := b.limit(p, slot)
 	if isCall {
-		limit *= callShare
+		limit = max(callShare*limit, limit-p.wanted.sum(slot))
+	} else {
+		p.wanted.add(slot, 1)
 	}
-	if float64(p.repeats.sum(slot)+1) > limit || isCall && p.refusing > refusingFrom {
+	if p.repeats.sum(slot)+1 > limit {
 		return false
 	}
-	p.repeats.add(slot)
+	p.repeats.add(slot, 1)
 	return true
 }
 
@@ -105,14 +106,18 @@
 	slot := b.slot()
 	out := make(map[string]float64, len(b.pools))
 	for name, p := range b.pools {
-		out[name] = max(0, b.limit(p, slot)-float64(p.repeats.sum(slot)))
+		out[name] = max(0, b.limit(p, slot)-p.repeats.sum(slot))
 	}
 	return out
 }
 
+// limit grows to its whole within a window after the start, since what this node
+// spent before a restart is not known.
 func (b *Budgeter) limit(p *pool, slot int64) float64 {
 	share := b.Allowance / float64(max(b.Nodes(), 1))
-	return safety * (share + b.Ratio*float64(p.requests.sum(slot)))
+	age := min(1, time.Since(b.begun).Seconds()/b.Window.Seconds())
+	share *= startShare + (1-startShare)*age
+	return safety * (share + b.Ratio*p.requests.sum(slot))
 }
 
 func (b *Budgeter) pool(name string) *pool {
@@ -134,14 +139,14 @@
 	return int64(time.Since(b.begun)/(b.Window/slots)) + slots
 }
 
-func (c *counter) add(slot int64) {
+func (c *counter) add(slot int64, n float64) {
 	c.advance(slot)
-	c.counts[slot%slots]++
+	c.counts[slot%slots] += n
 }
 
-func (c *counter) sum(slot int64) int {
+func (c *counter) sum(slot int64) float64 {
 	c.advance(slot)
-	n := 0
+	n := 0.0
 	for _, count := range c.counts {
 		n += count
 	}
@@ -151,7 +156,7 @@
 // advance clears the slots that have passed.
 func (c *counter) advance(slot int64) {
 	if slot-c.last >= slots {
-		c.counts = [slots]int{}
+		c.counts = [slots]float64{}
 		c.last = slot
 		return
 	}
--- a/apricotd/internal/process/chooser/chooser.go
+++ b/apricotd/internal/process/chooser/chooser.go
@@ -164,6 +164,15 @@
 	return near
 }
 
+// Failing returns the part of the last requests that the server failed or turned
+// away.
+func (ch *Choice) Failing() float64 {
+	ch.chooser.mu.Lock()
+	defer ch.chooser.mu.Unlock()
+	r := ch.record
+	return r.failures * decayer.Left(time.Since(r.failedAt), failureHalfLife)
+}
+
 // Done records what came of the choice. It must be called once.
 func (ch *Choice) Done(r Report) {
 	c := ch.chooser
--- a/apricotd/internal/process/gauger/gauger.go
+++ b/apricotd/internal/process/gauger/gauger.go
@@ -39,13 +39,15 @@
 	correctWithin = time.Second
 	// utilisation is the part of what the server can do that is aimed at.
 	utilisation = 0.98
-	// maxRatio bounds the ratios in one step.
-	maxRatio = 4.0
+	// leastRatio and mostRatio bound the ratios in one step. A server that is
+	// hardly used tells nearly all of its room, for which the second is large.
+	leastRatio = 0.25
+	mostRatio  = 20.0
 	// MaxHeld is the largest part that is held back; the rest shows when the
 	// overload ends.
 	MaxHeld = 0.95
 	// minExcess is the least excess, of a server that has hardly anything to do.
-	minExcess = -3.0
+	minExcess = 1 - mostRatio
 )
 
 type (
@@ -147,7 +149,7 @@
 
 // bound also stands for the ratios by zero.
 func bound(ratio float64) float64 {
-	return max(1/maxRatio, min(maxRatio, ratio))
+	return max(leastRatio, min(mostRatio, ratio))
 }
 
 // wanted is how many requests are to be present so that hardly any slot is ever
--- a/apricotd/internal/request/director/attempts.go
+++ b/apricotd/internal/request/director/attempts.go
@@ -26,34 +26,43 @@
 		if !ok {
 			return last
 		}
+		if !d.mayAttempt(rq, choice) {
+			choice.Done(chooser.Report{Result: chooser.Ended})
+			return last
+		}
 		tried[choice.Server.ID] = true
 		last = d.attempt(ctx, rq, choice)
-		if ctx.Err() != nil || !d.mayRepeat(rq, last) {
+		if ctx.Err() != nil || !mayRepeat(rq, last) {
 			return last
 		}
 	}
 	return last
 }
 
-// mayRepeat tells whether another server may be asked. A request that has
-// reached no server yet costs nothing but time.
-func (d *Director) mayRepeat(rq *request, o outcome) bool {
+// mayRepeat tells whether another server may be asked after an outcome.
+func mayRepeat(rq *request, o outcome) bool {
 	switch o := o.(type) {
 	case refused:
-		if !o.mayHelp {
-			return false
-		}
+		return o.mayHelp
 	case unknown:
-		if !rq.route.Idempotent || o.reason == performer.Expired {
-			return false
-		}
+		return rq.route.Idempotent && o.reason != performer.Expired
 	default:
 		return false
 	}
+}
+
+// mayAttempt tells whether the request may be sent to a server. Until it has
+// reached one, it costs nothing but time; from then on it needs the route's
+// attempts and the fleet's budget, and is not spent on a server that would
+// probably turn a call away: its request needs several calls to end well.
+func (d *Director) mayAttempt(rq *request, c *chooser.Choice) bool {
 	if rq.arrivals == 0 {
 		return true
 	}
-	return rq.arrivals < rq.route.MaxAttempts && d.Budget.Spend(rq.pool, rq.isCall)
+	if rq.arrivals >= rq.route.MaxAttempts || rq.isCall && c.Failing() > doubtfulFrom {
+		return false
+	}
+	return d.Budget.Spend(rq.pool, rq.isCall)
 }
 
 func (d *Director) attempt(ctx context.Context, rq *request, c *chooser.Choice) outcome {
@@ -97,6 +106,10 @@
 		Route:       rq.route.Name,
 		Preference:  uint32(max(0, rq.preference)),
 		Held:        rq.held,
+		Repeat:      rq.repeat,
+	}
+	if rq.arrivals > 0 {
+		run.Repeat = 1
 	}
 	if o := rq.organisation; o != nil {
 		run.Organisation, run.Weight = o.Name, o.Rate
@@ -138,14 +151,12 @@
 	report := chooser.Report{Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots())}
 	if answer := result.GetAnswer(); answer != nil {
 		rq.arrivals++
-		d.Budget.Saw(rq.pool, false)
 		report.Result = chooser.Served
 		return answered{answer}, report
 	}
 	r := result.GetRefusal()
 	if r.GetArrived() {
 		rq.arrivals++
-		d.Budget.Saw(rq.pool, r.GetNotRun())
 	}
 	report.Result = resultOf(r)
 	if !r.GetNotRun() {
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -63,6 +63,9 @@
 	throttleWait = 600 * time.Millisecond
 	// minCallsPerRun is the least estimate that is taken for a call at all.
 	minCallsPerRun = 0.15
+	// doubtfulFrom is the part of its requests that a server fails or turns
+	// away from which calls are not sent to it again.
+	doubtfulFrom = 0.25
 	// maxTries bounds the servers that are asked, also those that do not get
 	// the request.
 	maxTries = 6
@@ -114,7 +117,8 @@
 		deadline     time.Time
 		fields       []*linkwire.Field
 		isCall       bool
-		arrivals     int // servers that it has reached, or may have
+		repeat       float64 // probability that the first send repeats a run
+		arrivals     int     // servers that it has reached, or may have
 		tries        int
 		server       string // asked last
 	}
@@ -160,6 +164,10 @@
 	rq.deadline = d.deadline(rq)
 	rq.pool = d.weigher.pick(route)
 	d.Budget.Count(rq.pool)
+	if rq.isCall {
+		rq.repeat = d.Local.RepeatPart()
+		d.Budget.Owe(rq.pool, rq.repeat)
+	}
 	if d.Quarantine.Any() && d.Quarantine.Holds(quarantiner.Fingerprint(rq.Method, rq.Host, rq.Target, rq.Body)) {
 		return refused{reason: performer.Quarantined, detail: "backend servers crashed that ran it", retryAfter: performer.QuarantineWait}
 	}
@@ -202,7 +210,7 @@
 	}
 	return refused{
 		reason:     reasonThrottled,
-		detail:     fmt.Sprintf("pool %s, to which the request leads, is asked for more than it can do; %.2f is held back", word.Bottleneck, word.Excess),
+		detail:     fmt.Sprintf("pool %s, to which the request leads, has an excess of %.2f; %.2f of rank %d is held back", word.Bottleneck, word.Excess, part, rq.rank),
 		retryAfter: throttleWait,
 	}
 }
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,8 @@
 	shedWait = 50 * time.Millisecond
 	// serviceGain is the weight of one answer in the mean time of service.
 	serviceGain = 0.1
+	// repeatGain is the weight of one run in the mean part of repeats.
+	repeatGain = 0.05
 )
 
 // A Performer runs requests on one backend server. Its fields must be set
@@ -90,11 +93,28 @@
 	waiting atomic.Int64
 	limit   atomic.Int64 // requests that may run at once
 	service atomic.Int64 // mean time of service, nanoseconds
+
+	mu      sync.Mutex
+	repeats float64 // mean probability that a run is a repeat
 }
 
 // Leave makes the performer refuse peers' requests from now on.
 func (p *Performer) Leave() { p.leaving.Store(true) }
 
+// RepeatPart returns the part of the last runs that were repeats, and so of the
+// calls that the server makes for them.
+func (p *Performer) RepeatPart() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.repeats
+}
+
+func (p *Performer) countRepeat(probability float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.repeats += (probability - p.repeats) * repeatGain
+}
+
 // SetSlots follows the server's entry.
 func (p *Performer) SetSlots(n int) {
 	p.Sizer.SetSlots(n)
@@ -168,6 +188,7 @@
 		return result
 	}
 	p.Gauger.Arrived(run.Held)
+	p.countRepeat(run.Repeat)
 	begun := time.Now()
 	running, _ := p.Admitter.Load()
 	end := p.Tracer.Begin(run.Route)
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -35,10 +36,17 @@
 		pool    string
 		slots   int
 		service time.Duration
+		// queue is how many requests may wait for a slot; the next one is turned
+		// away. Zero lets any number run.
+		queue int
+		// slowing is how much longer all take while every slot is in use; zero
+		// counts as one.
+		slowing float64
 		// call is a request that the worker makes on its own node for each
-		// request that it runs; empty: none.
-		call func() string
-		node func() net.Conn
+		// request that it runs, one after the other, calls times; nil: none.
+		call  func() string
+		calls int
+		node  func() net.Conn
 
 		t       *testing.T
 		network *connector.Connector
@@ -49,7 +57,10 @@
 		unwell   bool // the health check fails
 		ran      []ranRequest
 		arrived  int
+		arrivals []string // ids
 		busy     int
+		waiting  int
+		shedPart float64 // of the requests, turned away although there is room
 		mostBusy int
 		previous string // answer
 		listener net.Listener
@@ -60,6 +71,7 @@
 		left                                  string
 		at                                    time.Time
 		cancelled                             bool
+		failed                                bool // a call that it needs failed
 	}
 )
 
@@ -147,6 +159,7 @@
 	}
 	w.mu.Lock()
 	w.arrived++
+	w.arrivals = append(w.arrivals, r.Header.Get("Id"))
 	w.mu.Unlock()
 	head := "Id: " + r.Header.Get("Id") + "\r\n"
 	switch {
@@ -157,6 +170,10 @@
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\n%sNotrun: 1\r\nContent-Length: 0\r\n\r\n", head)
 		return err == nil
 	}
+	if !w.enter(gone) {
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\n%sNotrun: 1\r\nContent-Length: 0\r\n\r\n", head)
+		return err == nil
+	}
 	failed := w.perform(r, gone)
 	if strings.Contains(r.URL.Path, "/crash") {
 		w.crash()
@@ -201,25 +218,57 @@
 		key: r.Header.Get("Key"), target: r.URL.RequestURI(), left: r.Header.Get("Left"), at: time.Now(),
 	})
 	place := len(w.ran) - 1
-	w.busy++
+	if w.queue == 0 {
+		w.busy++
+	}
 	w.mostBusy = max(w.mostBusy, w.busy)
+	service := w.service
+	if w.slowing > 0 && w.busy >= w.slots {
+		service = time.Duration(float64(service) * w.slowing)
+	}
 	w.mu.Unlock()
 	if w.call != nil {
-		failed = w.makeCall()
+		for i := 0; i < max(1, w.calls) && !failed; i++ {
+			failed = w.makeCall()
+		}
 	}
 	cancelled := false
 	select {
 	case <-gone:
 		cancelled = true
-	case <-time.After(w.service):
+	case <-time.After(service):
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.busy--
-	w.ran[place].cancelled = cancelled
+	w.ran[place].cancelled, w.ran[place].failed = cancelled, failed
 	return failed
 }
 
+// enter waits for a slot; it reports false if the request is turned away.
+func (w *worker) enter(gone <-chan struct{}) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queue == 0 {
+		return true
+	}
+	if w.busy >= w.slots && w.waiting >= w.queue || rand.Float64() < w.shedPart {
+		return false
+	}
+	w.waiting++
+	for w.busy >= w.slots {
+		w.mu.Unlock()
+		select {
+		case <-gone:
+		case <-time.After(time.Millisecond):
+		}
+		w.mu.Lock()
+	}
+	w.waiting--
+	w.busy++
+	return true
+}
+
 func (w *worker) makeCall() (failed bool) {
 	nc := w.node()
 	if nc == nil {
