Write the experiments as a page with plots, from committed data

make experiments plays all patterns for 12 s each and writes docs/experiments.json, docs/EXPERIMENTS.md and a plot a pattern; standin plot writes the page again from the data.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := wire apricotd apricotctl platform standin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
-.PHONY: build demo test test-known-red check generate
+.PHONY: build demo test test-known-red experiments check generate
 
 build:
 	go build -o bin/ ./apricotd ./apricotctl ./platform ./standin
@@ -15,6 +15,10 @@
 test-known-red:
 	go test -count=1 -run '$(RUN)' ./apricotd/mesher
 
+experiments: build
+	cd apricotd && go test -count=1 ./mesher -run '^TestExperiments$$' -experiments ../../docs/experiments.json
+	./bin/standin plot
+
 check:
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "gofmt: files above are not formatted"; exit 1; }
 	go vet $(PACKAGES)
--- a/apricotd/mesher/experiments_test.go
+++ b/apricotd/mesher/experiments_test.go
@@ -17,13 +17,14 @@
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
 	"apricotrudder.dev/standin/connector"
+	"apricotrudder.dev/standin/plotter"
 )
 
 // The experiments play a pattern of load on a fleet whose searches and orders
 // lead to five reads of stock each, the narrowest pool, once with whole nodes
 // and once with the baseline, and keep account of what callers get.
 //
-//	go test ./mesher -run TestExperiments -experiments ../../docs/experiments.json
+//	go test ./mesher -run '^TestExperiments$' -experiments ../../docs/experiments.json
 var experimentsFile = flag.String("experiments", "", "file for the results of TestExperiments, with whole lengths")
 
 const (
@@ -40,6 +41,7 @@
 	watchAfter   = 8 * time.Second
 	orderWorth   = 3
 	// agreedRepeats is the ratio of the retry budget that fleets of tests have.
+	// The baseline does not keep to it.
 	agreedRepeats = 0.2
 )
 
@@ -49,6 +51,7 @@
 		Name    string
 		Pattern string
 		demand  float64 // times the capacity while it lasts
+		lost    float64 // part of the capacity that is lost while it lasts
 		// hot multiplies the requests of the first organisation.
 		hot float64
 		// change begins the trouble and undo ends it; nil: none.
@@ -65,35 +68,14 @@
 		dataCentre   string
 		served       bool
 	}
-
-	// A result is what users look at.
-	result struct {
-		Name, Pattern, Policy string
-		// Worth is what was served of what was asked while the pattern lasted,
-		// orders counting three times.
-		Worth             float64
-		Searches, Orders  float64 // served of asked
-		WorstOrganisation float64
-		WorstDataCentre   float64
-		// RecoverySeconds is the time after the pattern until nine in ten of a
-		// second's requests are served; negative: not within the time watched.
-		RecoverySeconds float64
-		// WastedWork is the part of the time worked by searches and orders
-		// whose request failed.
-		WastedWork float64
-		// Repeats is the part of the reads of stock that were sent again. The
-		// fleet may send a fifth again; the baseline does not keep to that.
-		Repeats  float64
-		Timeline []float64 // worth a second
-	}
 )
 
 var experiments = []*experiment{
 	{Name: "burst", Pattern: "burst at 1.7 times what the deepest pool can do", demand: 1.7},
-	{Name: "loss", Pattern: "the same with one of four servers of the deepest pool lost", demand: 1.7,
+	{Name: "loss", Pattern: "the same with one of four servers of the deepest pool lost", demand: 1.7, lost: 0.6 / 4,
 		change: func(f *fleet) { f.loseServer("r3") }, undo: func(f *fleet) { f.returnServer("r3") }},
 	{Name: "hot", Pattern: "one organisation of four at 8 times its rate", demand: 0.7, hot: 8},
-	{Name: "slow", Pattern: "two servers of the deepest pool work at a quarter of their speed", demand: 0.8,
+	{Name: "slow", Pattern: "two servers of the deepest pool work at a quarter of their speed", demand: 0.8, lost: 0.75 * (1.4 + 0.6) / 4,
 		change: func(f *fleet) { f.slow(4, "r1", "r2") }, undo: func(f *fleet) { f.slow(1, "r1", "r2") }},
 	{Name: "shift", Pattern: "all callers in one data centre, at 0.8 of the capacity", demand: 0.8, oneDataCentre: true},
 }
@@ -115,11 +97,11 @@
 func TestExperiments(t *testing.T) {
 	if *experimentsFile == "" {
 		for _, e := range experiments {
-			t.Run(e.Name, func(t *testing.T) { e.compare(t, 4*time.Second) })
+			t.Run(e.Name, func(t *testing.T) { e.check(t) })
 		}
 		return
 	}
-	var results []result
+	var results []plotter.Result
 	for _, e := range append(experiments, greyExperiment) {
 		t.Run(e.Name, func(t *testing.T) { results = append(results, e.compare(t, 12*time.Second)...) })
 	}
@@ -133,24 +115,39 @@
 }
 
 // TestExperimentGrey stands apart since it is known red.
-func TestExperimentGrey(t *testing.T) { greyExperiment.compare(t, 4*time.Second) }
+func TestExperimentGrey(t *testing.T) { greyExperiment.check(t) }
 
-// compare plays both policies.
-func (e *experiment) compare(t *testing.T, length time.Duration) []result {
-	naive, own := e.play(t, "naive", length), e.play(t, "apricot", length)
-	t.Logf("naive %.3f, apricot %.3f (orders %.3f, %.3f; recovery %.0f s, %.0f s; repeats %.3f, %.3f)",
-		naive.Worth, own.Worth, naive.Orders, own.Orders, naive.RecoverySeconds, own.RecoverySeconds, naive.Repeats, own.Repeats)
+// check plays both policies for a short time.
+func (e *experiment) check(t *testing.T) {
+	results := e.compare(t, 4*time.Second)
+	naive, own := results[0], results[1]
 	if own.Repeats > agreedRepeats {
 		t.Errorf("repeats: got %.3f of the reads, want at most %.3f", own.Repeats, agreedRepeats)
 	}
 	if own.Worth < naive.Worth-0.01 && naive.Repeats <= agreedRepeats {
 		t.Errorf("worth: got %.3f, want at least the baseline's %.3f", own.Worth, naive.Worth)
 	}
-	return []result{naive, own}
+}
+
+// compare plays both policies.
+func (e *experiment) compare(t *testing.T, length time.Duration) []plotter.Result {
+	naive, own := e.play(t, "naive", length), e.play(t, "apricot", length)
+	t.Logf("naive %.3f, apricot %.3f (orders %.3f, %.3f; recovery %.0f s, %.0f s; repeats %.3f, %.3f)",
+		naive.Worth, own.Worth, naive.Orders, own.Orders, naive.RecoverySeconds, own.RecoverySeconds, naive.Repeats, own.Repeats)
+	return []plotter.Result{naive, own}
+}
+
+// optimum is the worth if all that can be read goes to orders first. One slot of
+// each server stays free, since all are slower with none.
+func (e *experiment) optimum() float64 {
+	room := (1 - e.lost) * (readSlots - 1) / readSlots / e.demand // part of the trees
+	orders := min(room, 1-searchShare)
+	searches := min(room-orders, searchShare)
+	return (orderWorth*orders + searches) / (orderWorth*(1-searchShare) + searchShare)
 }
 
 // play runs one policy through the pattern.
-func (e *experiment) play(t *testing.T, policy string, length time.Duration) result {
+func (e *experiment) play(t *testing.T, policy string, length time.Duration) plotter.Result {
 	var samples []sample
 	var mu sync.Mutex
 	var wasted, repeats float64
@@ -186,6 +183,8 @@
 		repeats = f.repeats("stock")
 	})
 	r := e.account(samples, calmBefore, calmBefore+length)
+	r.Optimum = e.optimum()
+	r.From, r.To = calmBefore.Seconds(), (calmBefore + length).Seconds()
 	r.Policy, r.WastedWork, r.Repeats = policy, wasted, repeats
 	return r
 }
@@ -347,8 +346,8 @@
 }
 
 // account sums up; from and to bound the pattern.
-func (e *experiment) account(samples []sample, from, to time.Duration) result {
-	r := result{Name: e.Name, Pattern: e.Pattern, RecoverySeconds: -1}
+func (e *experiment) account(samples []sample, from, to time.Duration) plotter.Result {
+	r := plotter.Result{Name: e.Name, Pattern: e.Pattern, RecoverySeconds: -1}
 	var all, searches, orders share
 	organisations, dataCentres := make(map[int]*share), make(map[string]*share)
 	timeline := make([]share, int((to+watchAfter)/time.Second)+1)
--- a/standin/main.go
+++ b/standin/main.go
@@ -6,10 +6,12 @@
 //	standin platform --tables DIR --listen 127.0.0.1:9000
 //	standin backend --config backend.toml
 //	standin demo --bin DIR
+//	standin plot --results docs/experiments.json --folder docs
 package main
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,6 +26,7 @@
 	"github.com/pkg/errors"
 
 	"apricotrudder.dev/standin/launcher"
+	"apricotrudder.dev/standin/plotter"
 	"apricotrudder.dev/standin/publisher"
 	"apricotrudder.dev/standin/responder"
 )
@@ -50,10 +53,16 @@
 		Only     string        `long:"only" description:"tatrasound or fuzopont; both if empty"`
 	}
 
+	plotCommand struct {
+		Results string `long:"results" default:"docs/experiments.json" description:"results of TestExperiments"`
+		Folder  string `long:"folder" default:"docs" description:"where the page and the plots go"`
+	}
+
 	options struct {
 		Platform platformCommand `command:"platform" description:"publish tables and the VM list"`
 		Backend  backendCommand  `command:"backend" description:"be a backend server"`
 		Demo     demoCommand     `command:"demo" description:"start both deployments, send a load, and stop them"`
+		Plot     plotCommand     `command:"plot" description:"write the page of experiments and its plots"`
 	}
 )
 
@@ -121,6 +130,19 @@
 	return l.Run(ctx)
 }
 
+// Execute writes the page.
+func (c *plotCommand) Execute([]string) error {
+	raw, err := os.ReadFile(c.Results)
+	if err != nil {
+		return fmt.Errorf("read results: %w", err)
+	}
+	var results []plotter.Result
+	if err := json.Unmarshal(raw, &results); err != nil {
+		return fmt.Errorf("decode results: %w", err)
+	}
+	return plotter.Write(results, c.Folder)
+}
+
 // serveUntil serves until the context ends, through limit if it is given.
 func serveUntil(ctx context.Context, address string, handler http.Handler, limit func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
