Give a region no second bucket for a lost packet

Cause, from a trace with grants printed: one data centre loses packets. An exchange with a keeper in it gets no answer within 100 ms, the asking node passes the keeper over for one to eight seconds, and the next in order gives out the region's share from a bucket of its own. From 12.1 s to 14 s a region had four keepers with shares of 0.16 to 0.68, the other 0.5.

Mended: who is asked although others go before it lends from a tenth of its equal part until those have been silent for 400 ms in spite of being asked; a keeper that is heard again is not passed over; a node that hears its region admits only a tenth of its equal part by itself.

--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -199,6 +199,19 @@
 	return link.silence(time.Now())
 }
 
+// Heard returns when a peer last sent anything on a link that is open.
+func (l *Linker) Heard(address netip.Addr) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var last time.Time
+	for link := range l.links {
+		if at := link.start.Add(time.Duration(link.heard.Load())); link.Peer == address && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // State tells whether a peer has a link, and else whether it has left the last
 // attempt to reach it without any answer, as a node does that is cut off.
 func (l *Linker) State(address netip.Addr) (linked, silent bool) {
--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"hash/fnv"
 	"net/netip"
 	"slices"
@@ -66,16 +67,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	out := slices.DeleteFunc(order(list, region, organisation), func(a netip.Addr) bool { return r.isAvoided(a, now) })
+	return out[:min(n, len(out))]
+}
+
+// order returns all nodes of a region in the order of keepers.
+func order(list *lister.List, region, organisation string) []netip.Addr {
 	var out []netip.Addr
 	for a := range list.Addresses {
-		if list.Region(a) == region && !now.Before(r.avoided[a].until) {
+		if list.Region(a) == region {
 			out = append(out, a)
 		}
 	}
 	slices.SortFunc(out, func(a, b netip.Addr) int {
 		return cmp.Compare(weight(b, organisation), weight(a, organisation))
 	})
-	return out[:min(n, len(out))]
+	return out
 }
 
 func weight(a netip.Addr, organisation string) uint64 {
@@ -90,6 +97,64 @@
 	return x ^ x>>33
 }
 
+// isAvoided tells whether a keeper is passed over. It is not any more once it is
+// heard again.
+func (r *Rationer) isAvoided(a netip.Addr, now time.Time) bool {
+	avoided, ok := r.avoided[a]
+	return ok && now.Before(avoided.until) && !r.Heard(a).After(avoided.since)
+}
+
+// isKeeper tells whether this node, which is asked for tokens, keeps the bucket:
+// all that go before it have given no sign of life for a while. That the asking
+// node has passed them over is not enough.
+func (r *Rationer) isKeeper(organisation string) bool {
+	list := r.List()
+	if list == nil {
+		return true
+	}
+	for _, a := range order(list, r.Region, organisation) {
+		if a == r.Self {
+			return true
+		}
+		if !r.takesOver(a, organisation) {
+			return false
+		}
+	}
+	return true
+}
+
+// takesOver tells whether a node that goes before this one has been asked for a
+// sign of life and has given none for a while.
+func (r *Rationer) takesOver(first netip.Addr, organisation string) bool {
+	now, heard := time.Now(), r.Heard(first)
+	r.mu.Lock()
+	if r.doubted == nil {
+		r.doubted = make(map[netip.Addr]doubt)
+	}
+	d := r.doubted[first]
+	if d.since.IsZero() || heard.After(d.since) {
+		d.since = now
+	}
+	silent := now.Sub(d.since) >= takeOverAfter
+	asks := now.Sub(d.asked) >= askInterval
+	if asks {
+		d.asked = now
+	}
+	r.doubted[first] = d
+	r.mu.Unlock()
+	if asks {
+		go r.askForSign(first, organisation)
+	}
+	return silent
+}
+
+// askForSign wants nothing but an answer, which Heard will tell.
+func (r *Rationer) askForSign(keeper netip.Addr, organisation string) {
+	ctx, cancel := context.WithTimeout(context.Background(), takeOverAfter)
+	defer cancel()
+	_, _ = r.Borrow(ctx, keeper, &linkwire.Borrow{Organisation: organisation})
+}
+
 // avoid passes over a keeper that did not answer.
 func (r *Rationer) avoid(a netip.Addr) {
 	r.mu.Lock()
@@ -102,7 +167,7 @@
 	if now.Sub(old.until) < maxAvoid {
 		span = min(maxAvoid, max(avoidFor, 2*old.span))
 	}
-	r.avoided[a] = avoidance{until: now.Add(span), span: span}
+	r.avoided[a] = avoidance{since: now, until: now.Add(span), span: span}
 }
 
 // Notices returns the demand of the buckets that this node keeps, sorted by
--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -7,6 +7,10 @@
 // keepers tell each other; a region that is not heard counts by the number of
 // its nodes. So no request waits for another region.
 //
+// A node that is asked although another goes before it lends from its own equal
+// part while it finds out whether that one lives: a lost packet on one link must
+// not give the region a second bucket.
+//
 // A node that reaches no keeper admits from its equal part of the rate, with
 // almost no depth, so that nodes which are cut off cannot overrun the rate
 // together.
@@ -48,6 +52,11 @@
 	// doubles with each further time, up to maxAvoid.
 	avoidFor = time.Second
 	maxAvoid = 8 * time.Second
+	// takeOverAfter is how long a keeper whom others passed over may give no
+	// sign of life before the next one takes over: two losses of a packet.
+	takeOverAfter = 400 * time.Millisecond
+	// askInterval separates questions for a sign of life.
+	askInterval = 100 * time.Millisecond
 	// spareRate is the part of the agreed overshoot by which buckets fill faster
 	// than the rate, so that requests within the rate that come unevenly to the
 	// regions are not refused.
@@ -56,6 +65,10 @@
 	// keeper, since the keepers take seconds to notice that it is cut off and
 	// grant its part to others until then.
 	fallbackPart = 0.5
+	// strayPart is the same for a node that hears its region, of whose requests
+	// some get no word in time. The keepers do not know of it and grant the whole
+	// rate to others, so that the parts of all nodes must fit beside it.
+	strayPart = 0.1
 	// maxWait bounds the time that a refused caller is asked to wait.
 	maxWait = 2 * time.Second
 )
@@ -71,6 +84,8 @@
 		Organisation func(name string) (*resolver.Organisation, bool)
 		// Borrow asks a keeper for tokens.
 		Borrow func(ctx context.Context, keeper netip.Addr, b *linkwire.Borrow) (*linkwire.Grant, error)
+		// Heard returns when a node was last heard on any matter.
+		Heard func(netip.Addr) time.Time
 		// IsSilent tells whether a node gives no answer at all.
 		IsSilent func(netip.Addr) bool
 		// Silence returns for how long no node of the region has been heard.
@@ -88,14 +103,22 @@
 		borrowers map[string]*borrower                         // by organisation
 		heard     map[regionOrganisation]map[netip.Addr]report // by keeper
 		avoided   map[netip.Addr]avoidance
+		doubted   map[netip.Addr]doubt
 	}
 
 	// An avoidance passes over a keeper.
 	avoidance struct {
+		since time.Time
 		until time.Time
 		span  time.Duration
 	}
 
+	// A doubt is about a keeper whom others passed over.
+	doubt struct {
+		since time.Time // not heard since
+		asked time.Time // when it was last asked for a sign of life
+	}
+
 	// An Excess says why a request is not admitted.
 	Excess struct {
 		Organisation string
@@ -156,6 +179,9 @@
 	if !ok {
 		return &linkwire.Grant{Unknown: true}
 	}
+	if !r.isKeeper(name) {
+		return r.lendOwnPart(o, wanted)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -181,6 +207,11 @@
 
 // takeFallback admits from this node's equal part of the rate.
 func (r *Rationer) takeFallback(o *resolver.Organisation) *Excess {
+	return r.excess(o, "none", r.lendOwnPart(o, 1))
+}
+
+// lendOwnPart takes tokens out of this node's equal part of the rate.
+func (r *Rationer) lendOwnPart(o *resolver.Organisation, wanted uint32) *linkwire.Grant {
 	nodes := 1
 	if list := r.List(); list != nil {
 		nodes = max(1, list.Nodes())
@@ -196,10 +227,15 @@
 		r.fallbacks[o.Name] = b
 	}
 	now := time.Now()
-	rate := fallbackPart * o.Rate / float64(nodes)
+	part := strayPart
+	if r.Silence() >= keeperSilence {
+		part = fallbackPart
+	}
+	rate := part * o.Rate / float64(nodes)
 	b.fill(rate, rate, now)
-	if b.take(1) == 1 {
-		return nil
+	g := &linkwire.Grant{Granted: b.take(wanted)}
+	if g.Granted < wanted {
+		g.RetryAfterMs = uint32(b.wait(rate, wanted-g.Granted, now).Milliseconds())
 	}
-	return &Excess{Organisation: o.Name, Rate: o.Rate, Keeper: "none", Wait: b.wait(rate, 1, now)}
+	return g
 }
--- a/apricotd/internal/process/rationer/rationer_test.go
+++ b/apricotd/internal/process/rationer/rationer_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +31,7 @@
 		nodes        []*Rationer
 		byAddress    map[netip.Addr]*Rationer
 		cut          map[netip.Addr]bool
+		loses        func() bool // whether an exchange gets no answer in time
 		organisation *resolver.Organisation
 		admitted     []time.Time
 	}
@@ -59,8 +62,18 @@
 				if f.cut[a] || f.cut[keeper] {
 					return nil, errors.New("cut off")
 				}
+				if f.loses != nil && f.loses() {
+					time.Sleep(borrowTimeout)
+					return nil, errors.New("no answer in time")
+				}
 				return f.byAddress[keeper].Lend(b.Organisation, b.Wanted), nil
 			},
+			Heard: func(other netip.Addr) time.Time {
+				if f.cut[a] || f.cut[other] {
+					return time.Time{}
+				}
+				return time.Now()
+			},
 			Silence: func() time.Duration {
 				if f.cut[a] {
 					return time.Hour
@@ -220,3 +233,69 @@
 		}
 	})
 }
+
+// Fault: links lost packets, so that exchanges with a living keeper now and then
+// got no answer in time. The nodes that passed it over gave the region up to
+// three further buckets, each with the region's share.
+func TestLostPacketsMakeNoSecondBucket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(195, 195)
+		random := rand.New(rand.NewPCG(3, 4))
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		send := func(perSecond int, length time.Duration) {
+			for i := range perSecond * int(length/time.Second) {
+				if i%perSecond == 0 {
+					f.tell()
+				}
+				wg.Go(func() {
+					if f.nodes[i%len(f.nodes)].Take(context.Background(), f.organisation) == nil {
+						mu.Lock()
+						defer mu.Unlock()
+						f.admitted = append(f.admitted, time.Now())
+					}
+				})
+				time.Sleep(time.Second / time.Duration(perSecond))
+			}
+		}
+		send(100, 4*time.Second)
+		f.loses = func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.Float64() < 0.15
+		}
+		send(100, 2*time.Second)
+		send(4*195, 8*time.Second)
+		wg.Wait()
+		limit := int((195*testWindow.Seconds()+195)*(1+testOvershoot) + testSlack)
+		if got := f.worstWindow(); got > limit {
+			t.Errorf("admitted in one window: got %d, want at most %d", got, limit)
+		}
+	})
+}
+
+// The first keeper dies. The next one takes over within a second, and what is
+// refused until then is little.
+func TestNextKeeperTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(80, 80)
+		f.drive(&exact{}, 40, 1)
+		first, ok := f.nodes[0].keeper("gold")
+		if !ok {
+			t.Fatal("keeper: got none, want one")
+		}
+		f.cut[first] = true
+		time.Sleep(50 * time.Millisecond)
+		before := len(f.admitted)
+		asked := 0
+		for begun := time.Now(); time.Since(begun) < 4*time.Second; time.Sleep(25 * time.Millisecond) {
+			if node := 2 * (asked % 8); f.nodes[node].Self != first {
+				f.take(node)
+			}
+			asked++
+		}
+		if got, want := len(f.admitted)-before, asked*7/8*8/10; got < want {
+			t.Errorf("admitted in 4 s after the keeper was lost: got %d of %d, want at least %d", got, asked*7/8, want)
+		}
+	})
+}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -206,6 +206,7 @@
 		List:         n.keeper.List,
 		Organisation: n.organisation,
 		Borrow:       n.linker.Borrow,
+		Heard:        n.linker.Heard,
 		IsSilent: func(a netip.Addr) bool {
 			_, silent := n.linker.State(a)
 			return silent
