--- /dev/null
+++ b/apricotd/internal/connection/linker/fields.go
@@ -0,0 +1,24 @@
+package linker
+
+import (
+	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/wire/linkwire"
+)
+
+// WireFields returns header fields as they are sent to a peer.
+func WireFields(fields parser.Fields) []*linkwire.Field {
+	out := make([]*linkwire.Field, len(fields))
+	for i, f := range fields {
+		out[i] = &linkwire.Field{Name: f.Name, Value: f.Value}
+	}
+	return out
+}
+
+// HeaderFields returns header fields that came from a peer.
+func HeaderFields(fields []*linkwire.Field) parser.Fields {
+	out := make(parser.Fields, len(fields))
+	for i, f := range fields {
+		out[i] = parser.Field{Name: f.Name, Value: f.Value}
+	}
+	return out
+}
--- a/apricotd/internal/process/gauger/gauger.go
+++ b/apricotd/internal/process/gauger/gauger.go
@@ -147,7 +147,8 @@
 	g.excess = max(minExcess, min(MaxHeld, 1-through))
 }
 
-// bound also stands for the ratios by zero.
+// bound keeps a ratio within the limits of one step; it may be infinite, of an
+// idle server.
 func bound(ratio float64) float64 {
 	return max(leastRatio, min(mostRatio, ratio))
 }
--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -116,22 +116,22 @@
 		if a == r.Self {
 			return true
 		}
-		if !r.takesOver(a, organisation) {
+		if !r.isUnresponsive(a, organisation) {
 			return false
 		}
 	}
-	return true
+	return true // the list does not name this node yet
 }
 
-// takesOver tells whether a node that goes before this one has been asked for a
+// isUnresponsive tells whether a node that goes before this one has been asked for a
 // sign of life and has given none for a while.
-func (r *Rationer) takesOver(first netip.Addr, organisation string) bool {
-	now, heard := time.Now(), r.Heard(first)
+func (r *Rationer) isUnresponsive(keeper netip.Addr, organisation string) bool {
+	now, heard := time.Now(), r.Heard(keeper)
 	r.mu.Lock()
 	if r.doubted == nil {
 		r.doubted = make(map[netip.Addr]doubt)
 	}
-	d := r.doubted[first]
+	d := r.doubted[keeper]
 	if d.since.IsZero() || heard.After(d.since) {
 		d.since = now
 	}
@@ -140,10 +140,10 @@
 	if asks {
 		d.asked = now
 	}
-	r.doubted[first] = d
+	r.doubted[keeper] = d
 	r.mu.Unlock()
 	if asks {
-		go r.askForSign(first, organisation)
+		go r.askForSign(keeper, organisation)
 	}
 	return silent
 }
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -10,11 +10,11 @@
 // # Usage
 //
 //	t := &throttler.Throttler{}
-//	t.Hear("search", serverID, throttler.Word{Excess: 0.3, Bottleneck: "stock"})
-//	if part, word := t.Holds("search", rank); rand.Float64() < part { ... }
+//	t.Hear("search", serverID, throttler.Overload{Excess: 0.3, Bottleneck: "stock"})
+//	if part, overload := t.Holds("search", rank); rand.Float64() < part { ... }
 //
 // A belief that is not renewed fades within seconds, so that some requests
-// are let through to learn whether it still holds. Memory is one word for each
+// are let through to learn whether it still holds. Memory is one report for each
 // route and server heard lately; a decision takes a step for each route.
 package throttler
 
@@ -26,13 +26,13 @@
 )
 
 const (
-	// reportHalfLife is how fast one server's word loses weight among others.
+	// reportHalfLife is how fast one server's report loses weight among others.
 	reportHalfLife = time.Second
-	// fadeAfter is the age from which the newest word itself loses force, by
+	// fadeAfter is the age from which the newest report itself loses force, by
 	// half in each fadeHalfLife.
 	fadeAfter    = 500 * time.Millisecond
 	fadeHalfLife = time.Second
-	// forgetAfter is when a server's word is dropped.
+	// forgetAfter is when a server's report is dropped.
 	forgetAfter = 5 * time.Second
 	// minWeight is the weight of a server of which hardly anything is asked, in
 	// requests per second.
@@ -43,8 +43,9 @@
 )
 
 type (
-	// A Word is what a node says of a tree, and what is believed of one.
-	Word struct {
+	// An Overload is what a node reports of a call tree, or what is believed of
+	// one.
+	Overload struct {
 		// Excess is negative if the pool could do more than it is asked for.
 		Excess     float64
 		Bottleneck string // pool
@@ -69,22 +70,22 @@
 	}
 
 	report struct {
-		Word
+		Overload
 		at time.Time
 	}
 )
 
-// Hear takes a server's word on a route.
-func (t *Throttler) Hear(name, server string, w Word) {
+// Hear takes a server's report on a route.
+func (t *Throttler) Hear(name, server string, w Overload) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.route(name)
-	r.reports[server] = report{Word: w, at: time.Now()}
+	r.reports[server] = report{Overload: w, at: time.Now()}
 	r.bottleneck, r.heard = w.Bottleneck, time.Now()
 }
 
 // Believed returns what is believed of a route's trees.
-func (t *Throttler) Believed(name string) Word {
+func (t *Throttler) Believed(name string) Overload {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.believed(name, time.Now())
@@ -92,7 +93,7 @@
 
 // Holds returns the part of the callers' requests like this one that is to be
 // held back, and why.
-func (t *Throttler) Holds(name string, rank int) (part float64, w Word) {
+func (t *Throttler) Holds(name string, rank int) (part float64, w Overload) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -130,10 +131,10 @@
 // believed returns the mean of what was heard on the route or, if that is old,
 // on the route with the same bottleneck that was heard last: requests of an
 // urgent rank still bring news while all others are held back.
-func (t *Throttler) believed(name string, now time.Time) Word {
+func (t *Throttler) believed(name string, now time.Time) Overload {
 	r := t.routes[name]
 	if r == nil || now.Sub(r.heard) > forgetAfter {
-		return Word{}
+		return Overload{}
 	}
 	if now.Sub(r.heard) > fadeAfter {
 		r = t.latest(r)
@@ -164,9 +165,9 @@
 	return r
 }
 
-// mean weighs the servers' words by age and by what is asked of each, so that a
+// mean weighs the servers' reports by age and by what is asked of each, so that a
 // pool is not short of room while one of its servers is and the others have it.
-func (r *route) mean(now time.Time) Word {
+func (r *route) mean(now time.Time) Overload {
 	sum, weights := 0.0, 0.0
 	for server, rep := range r.reports {
 		age := now.Sub(rep.at)
@@ -179,9 +180,9 @@
 		weights += w
 	}
 	if weights == 0 {
-		return Word{}
+		return Overload{}
 	}
-	return Word{Excess: sum / weights, Bottleneck: r.bottleneck}
+	return Overload{Excess: sum / weights, Bottleneck: r.bottleneck}
 }
 
 func (r *route) left(now time.Time) float64 {
--- a/apricotd/internal/process/throttler/throttler_test.go
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -28,9 +28,9 @@
 		th := &Throttler{}
 		excess := 0.25
 		hear := func() {
-			th.Hear("search", "s1", Word{Excess: excess, Bottleneck: "stock"})
-			th.Hear("order", "o1", Word{Excess: excess, Bottleneck: "stock"})
-			th.Hear("page", "p1", Word{Excess: 0, Bottleneck: "pages"})
+			th.Hear("search", "s1", Overload{Excess: excess, Bottleneck: "stock"})
+			th.Hear("order", "o1", Overload{Excess: excess, Bottleneck: "stock"})
+			th.Hear("page", "p1", Overload{Excess: 0, Bottleneck: "pages"})
 		}
 		ranks := map[string]int{"search": 2, "order": 0, "page": 2}
 		ask(th, ranks, 500, hear)
@@ -50,10 +50,10 @@
 func TestHeldRouteLearnsFromOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		th := &Throttler{}
-		th.Hear("search", "s1", Word{Excess: 0.9, Bottleneck: "stock"})
+		th.Hear("search", "s1", Overload{Excess: 0.9, Bottleneck: "stock"})
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
-			th.Hear("order", "o1", Word{Excess: 0.6, Bottleneck: "stock"})
+			th.Hear("order", "o1", Overload{Excess: 0.6, Bottleneck: "stock"})
 		}
 		if got := th.Believed("search").Excess; got != 0.6 {
 			t.Errorf("excess believed of searches: got %.2f, want 0.60 as orders say", got)
@@ -71,14 +71,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		th := &Throttler{}
 		// The slow one can do 100 a second of 150, the quick one 300 of 150.
-		th.Hear("read", "slow", Word{Excess: 1 - 100.0/150, Bottleneck: "reads", Weight: 150})
-		th.Hear("read", "quick", Word{Excess: 1 - 300.0/150, Bottleneck: "reads", Weight: 150})
+		th.Hear("read", "slow", Overload{Excess: 1 - 100.0/150, Bottleneck: "reads", Weight: 150})
+		th.Hear("read", "quick", Overload{Excess: 1 - 300.0/150, Bottleneck: "reads", Weight: 150})
 		if part, w := th.Holds("read", 1); part > 0 {
 			t.Errorf("held back of 300 a second where 400 can be done: got %.2f (excess %.2f), want 0", part, w.Excess)
 		}
 		// 300 of 900 go to the slow one, which can do 100.
-		th.Hear("read", "slow", Word{Excess: 1 - 100.0/300, Bottleneck: "reads", Weight: 300})
-		th.Hear("read", "quick", Word{Excess: 1 - 300.0/600, Bottleneck: "reads", Weight: 600})
+		th.Hear("read", "slow", Overload{Excess: 1 - 100.0/300, Bottleneck: "reads", Weight: 300})
+		th.Hear("read", "quick", Overload{Excess: 1 - 300.0/600, Bottleneck: "reads", Weight: 600})
 		if part, _ := th.Holds("read", 1); part < 0.55 || part > 0.56 {
 			t.Errorf("held back of 900 a second where 400 can be done: got %.3f, want 0.556", part)
 		}
--- a/apricotd/internal/request/director/director.go
+++ b/apricotd/internal/request/director/director.go
@@ -203,30 +203,30 @@
 		rq.held = max(0, d.Throttler.Believed(rq.route.Name).Excess)
 		return nil
 	}
-	part, word := d.Throttler.Holds(rq.route.Name, rq.rank)
+	part, overload := d.Throttler.Holds(rq.route.Name, rq.rank)
 	rq.held = part
 	if rand.Float64() >= part {
 		return nil
 	}
 	return refused{
 		reason:     reasonThrottled,
-		detail:     fmt.Sprintf("pool %s, to which the request leads, has an excess of %.2f; %.2f of rank %d is held back", word.Bottleneck, word.Excess, part, rq.rank),
+		detail:     fmt.Sprintf("pool %s, to which the request leads, has an excess of %.2f; %.2f of rank %d is held back", overload.Bottleneck, overload.Excess, part, rq.rank),
 		retryAfter: throttleWait,
 	}
 }
 
 // Downstream returns the greatest excess of the pools to which the calls lead
 // that the own backend server makes for a route.
-func (d *Director) Downstream(route string) throttler.Word {
-	greatest := throttler.Word{Excess: math.Inf(-1)}
+func (d *Director) Downstream(route string) throttler.Overload {
+	greatest := throttler.Overload{Excess: math.Inf(-1)}
 	for _, call := range d.Tracer.Calls(route) {
 		if call.PerRun < minCallsPerRun {
 			continue
 		}
-		word := d.Throttler.Believed(call.Name)
-		word.Excess *= min(1, call.PerRun)
-		if word.Bottleneck != "" && word.Excess > greatest.Excess {
-			greatest = word
+		overload := d.Throttler.Believed(call.Name)
+		overload.Excess *= min(1, call.PerRun)
+		if overload.Bottleneck != "" && overload.Excess > greatest.Excess {
+			greatest = overload
 		}
 	}
 	return greatest
@@ -268,12 +268,8 @@
 // fields returns what is passed on: neither what concerns one connection only,
 // nor what only nodes may set.
 func (d *Director) fields(rq *request) []*linkwire.Field {
-	kept := rq.Fields.EndToEnd(d.Names.IsOwn)
-	out := make([]*linkwire.Field, 0, len(kept)+1)
-	for _, f := range kept {
-		out = append(out, &linkwire.Field{Name: f.Name, Value: f.Value})
-	}
-	return append(out, &linkwire.Field{Name: d.Names.Caller, Value: d.Caller()})
+	kept := linker.WireFields(rq.Fields.EndToEnd(d.Names.IsOwn))
+	return append(kept, &linkwire.Field{Name: d.Names.Caller, Value: d.Caller()})
 }
 
 // A Belief is what this node believes of one route.
@@ -293,8 +289,8 @@
 	}
 	var out []Belief
 	for _, r := range tables.Tables.Routes {
-		word := d.Throttler.Believed(r.Name)
-		b := Belief{Route: r.Name, Excess: word.Excess, Bottleneck: word.Bottleneck, Calls: d.Tracer.Calls(r.Name)}
+		overload := d.Throttler.Believed(r.Name)
+		b := Belief{Route: r.Name, Excess: overload.Excess, Bottleneck: overload.Bottleneck, Calls: d.Tracer.Calls(r.Name)}
 		if b.Excess > 0 || len(b.Calls) > 0 {
 			out = append(out, b)
 		}
--- a/apricotd/internal/request/director/outcome.go
+++ b/apricotd/internal/request/director/outcome.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
+	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/internal/request/performer"
 	"apricotrudder.dev/wire/linkwire"
@@ -63,11 +64,7 @@
 func (d *Director) respond(o outcome) *acceptor.Response {
 	switch o := o.(type) {
 	case answered:
-		fields := make(parser.Fields, len(o.Fields))
-		for i, f := range o.Fields {
-			fields[i] = parser.Field{Name: f.Name, Value: f.Value}
-		}
-		return &acceptor.Response{Status: int(o.Status), Fields: fields, Body: o.Body}
+		return &acceptor.Response{Status: int(o.Status), Fields: linker.HeaderFields(o.Fields), Body: o.Body}
 	case refused:
 		return refusal(o)
 	case unknown:
--- a/apricotd/internal/request/performer/performer.go
+++ b/apricotd/internal/request/performer/performer.go
@@ -26,6 +26,7 @@
 	"github.com/pkg/errors"
 
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
+	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/gauger"
@@ -87,7 +88,7 @@
 	OnBroken func()
 	// Downstream returns what is believed of the pools to which a route's calls
 	// lead.
-	Downstream func(route string) throttler.Word
+	Downstream func(route string) throttler.Overload
 
 	leaving atomic.Bool
 	waiting atomic.Int64
@@ -148,15 +149,15 @@
 	defer cancel()
 	result := p.admit(ctx, run, deadline)
 	result.Load = p.Load()
-	word := p.word(run)
-	result.Load.Excess, result.Load.Bottleneck, result.Load.Demand = word.Excess, word.Bottleneck, p.Gauger.Demand()
+	overload := p.overload(run)
+	result.Load.Excess, result.Load.Bottleneck, result.Load.Demand = overload.Excess, overload.Bottleneck, p.Gauger.Demand()
 	return result
 }
 
-// word tells which pool of the request's tree is asked for the most beyond what
+// overload tells which pool of the request's tree is asked for the most beyond what
 // it can do.
-func (p *Performer) word(run *linkwire.Run) throttler.Word {
-	own := throttler.Word{Excess: p.Gauger.Excess(), Bottleneck: run.Pool}
+func (p *Performer) overload(run *linkwire.Run) throttler.Overload {
+	own := throttler.Overload{Excess: p.Gauger.Excess(), Bottleneck: run.Pool}
 	if below := p.Downstream(run.Route); below.Bottleneck != "" && below.Excess > own.Excess {
 		return below
 	}
@@ -290,23 +291,15 @@
 		wait := max(shedWait, retryAfter(a.Fields))
 		return arrived(refuse(Shed, fmt.Sprintf("the backend server answered %d", a.Status), wait)), false
 	}
-	fields := a.Fields.EndToEnd(nil)
-	wire := make([]*linkwire.Field, len(fields))
-	for i, f := range fields {
-		wire[i] = &linkwire.Field{Name: f.Name, Value: f.Value}
-	}
 	return &linkwire.Result{Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{
 		Status: uint32(a.Status),
-		Fields: wire,
+		Fields: linker.WireFields(a.Fields.EndToEnd(nil)),
 		Body:   a.Body,
 	}}}, false
 }
 
 func (p *Performer) fields(run *linkwire.Run, id string, left time.Duration) parser.Fields {
-	fields := make(parser.Fields, 0, len(run.Fields)+3)
-	for _, f := range run.Fields {
-		fields = append(fields, parser.Field{Name: f.Name, Value: f.Value})
-	}
+	fields := linker.HeaderFields(run.Fields)
 	add := func(name, value string) {
 		if name != "" && value != "" {
 			fields = append(fields, parser.Field{Name: name, Value: value})
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -187,7 +187,7 @@
 		Tracer:     n.tracer,
 		Quarantine: n.quarantine,
 		OnBroken:   n.confirmCrash,
-		Downstream: func(route string) throttler.Word { return n.director.Downstream(route) },
+		Downstream: func(route string) throttler.Overload { return n.director.Downstream(route) },
 	}
 	n.performer.SetSlots(defaultSlots)
 	n.linker = &linker.Linker{
