--- a/apricotd/internal/process/rationer/keepers.go
+++ b/apricotd/internal/process/rationer/keepers.go
@@ -12,9 +12,13 @@
 	"apricotrudder.dev/wire/linkwire"
 )
 
-// keepersTold is the number of nodes in another region that hear of demand:
-// the keeper, and those that may have taken over from it.
-const keepersTold = 3
+const (
+	// keepersTold is the number of nodes in another region that hear of demand:
+	// the keeper, and those that may have taken over from it.
+	keepersTold = 3
+	// maxOrders bounds the orders of keepers that are remembered.
+	maxOrders = 1024
+)
 
 // A Notice is what the keeper of another region is to hear.
 type Notice struct {
@@ -67,12 +71,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	out := slices.DeleteFunc(order(list, region, organisation), func(a netip.Addr) bool { return r.isAvoided(a, now) })
-	return out[:min(n, len(out))]
+	var out []netip.Addr
+	for _, a := range r.order(list, region, organisation) {
+		if len(out) == n {
+			break
+		}
+		if !r.isAvoided(a, now) {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
-// order returns all nodes of a region in the order of keepers.
-func order(list *lister.List, region, organisation string) []netip.Addr {
+// order returns all nodes of a region in the order of keepers. It is sorted once
+// for each list; the lock must be held.
+func (r *Rationer) order(list *lister.List, region, organisation string) []netip.Addr {
+	if r.ordered != list || len(r.orders) >= maxOrders {
+		r.ordered, r.orders = list, make(map[regionOrganisation][]netip.Addr)
+	}
+	about := regionOrganisation{region, organisation}
+	if out, ok := r.orders[about]; ok {
+		return out
+	}
 	var out []netip.Addr
 	for a := range list.Addresses {
 		if list.Region(a) == region {
@@ -82,6 +102,7 @@
 	slices.SortFunc(out, func(a, b netip.Addr) int {
 		return cmp.Compare(weight(b, organisation), weight(a, organisation))
 	})
+	r.orders[about] = out
 	return out
 }
 
@@ -112,7 +133,10 @@
 	if list == nil {
 		return true
 	}
-	for _, a := range order(list, r.Region, organisation) {
+	r.mu.Lock()
+	nodes := r.order(list, r.Region, organisation)
+	r.mu.Unlock()
+	for _, a := range nodes {
 		if a == r.Self {
 			return true
 		}
--- a/apricotd/internal/process/rationer/rationer.go
+++ b/apricotd/internal/process/rationer/rationer.go
@@ -104,6 +104,8 @@
 		heard     map[regionOrganisation]map[netip.Addr]report // by keeper
 		avoided   map[netip.Addr]avoidance
 		doubted   map[netip.Addr]doubt
+		orders    map[regionOrganisation][]netip.Addr // of keepers, for one list
+		ordered   *lister.List
 	}
 
 	// An avoidance passes over a keeper.
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -40,6 +40,9 @@
 	// demandHalfLife is how fast requests of the past lose weight in the mix of
 	// ranks.
 	demandHalfLife = 2 * time.Second
+	// manyRoutes is the number of routes from which those of past versions of
+	// the tables are looked for and forgotten.
+	manyRoutes = 1024
 )
 
 type (
@@ -159,12 +162,24 @@
 	}
 	r := t.routes[name]
 	if r == nil {
+		if len(t.routes) >= manyRoutes {
+			t.forget(time.Now())
+		}
 		r = &route{reports: make(map[string]report)}
 		t.routes[name] = r
 	}
 	return r
 }
 
+// forget drops the routes of which nothing was heard or asked lately.
+func (t *Throttler) forget(now time.Time) {
+	for name, r := range t.routes {
+		if now.Sub(r.heard) > forgetAfter && now.Sub(r.asked) > forgetAfter {
+			delete(t.routes, name)
+		}
+	}
+}
+
 // mean weighs the servers' reports by age and by what is asked of each, so that a
 // pool is not short of room while one of its servers is and the others have it.
 func (r *route) mean(now time.Time) Overload {
--- a/apricotd/internal/process/throttler/throttler_test.go
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,3 +85,17 @@
 		}
 	})
 }
+
+// Routes of past versions of the tables do not add up.
+func TestForgetsRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		th := &Throttler{}
+		for i := range 5 * manyRoutes {
+			th.Hear(fmt.Sprint("route-", i), "s", Overload{Excess: 0.1, Bottleneck: "p"})
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got, most := len(th.routes), manyRoutes+1; got > most {
+			t.Errorf("routes remembered after %d: got %d, want at most %d", 5*manyRoutes, got, most)
+		}
+	})
+}
