--- a/apricotd/internal/process/rationer/rationer_test.go
+++ b/apricotd/internal/process/rationer/rationer_test.go
@@ -267,6 +267,7 @@
 		send(100, 2*time.Second)
 		send(4*195, 8*time.Second)
 		wg.Wait()
+		time.Sleep(time.Second) // questions for a sign of life end
 		limit := int((195*testWindow.Seconds()+195)*(1+testOvershoot) + testSlack)
 		if got := f.worstWindow(); got > limit {
 			t.Errorf("admitted in one window: got %d, want at most %d", got, limit)
