Log and count what a backend server states about itself

Package noticer reads both statements of a response (rate limit, leaving); a change is logged, and 'load estimates' and the metrics show the limit beside the requests that were sent. Nothing acts on it yet.

--- a/apricotd/internal/connection/exchanger/conn.go
+++ b/apricotd/internal/connection/exchanger/conn.go
@@ -107,7 +107,7 @@
 // the id of another request.
 func (c *conn) readResponse(call *Call) (callResult, error) {
 	for range maxMismatchedResponses {
-		response, body, err := c.readMessage(call.Method)
+		response, body, receivedAt, err := c.readMessage(call.Method)
 		if err != nil {
 			return callResult{}, err
 		}
@@ -120,32 +120,34 @@
 		}
 		c.setIdleLimit(response.Fields)
 		return callResult{
-			response: Response{Status: response.Status, Fields: response.Fields, Body: body},
+			response: Response{Status: response.Status, Fields: response.Fields, Body: body, ReceivedAt: receivedAt},
 			reusable: response.KeepAlive,
 		}, nil
 	}
 	return callResult{}, errUnsolicited
 }
 
-// readMessage reads one final response. It skips interim (1xx) responses.
-func (c *conn) readMessage(method string) (*parser.Response, []byte, error) {
+// readMessage reads one final response and returns when its head arrived. It
+// skips interim (1xx) responses.
+func (c *conn) readMessage(method string) (response *parser.Response, body []byte, receivedAt time.Time, err error) {
 	for {
 		head, err := parser.ReadHead(c.br, maxHeadBytes)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, time.Time{}, err
 		}
+		receivedAt := time.Now()
 		response, err := parser.ParseResponse(head, method)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, time.Time{}, err
 		}
 		if response.Status < 200 {
 			continue
 		}
 		body, err := parser.ReadBody(c.br, response.Framing, maxBodyBytes)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, time.Time{}, err
 		}
-		return response, body, nil
+		return response, body, receivedAt, nil
 	}
 }
 
--- a/apricotd/internal/connection/exchanger/exchanger.go
+++ b/apricotd/internal/connection/exchanger/exchanger.go
@@ -75,6 +75,8 @@
 		Status int
 		Fields parser.Fields
 		Body   []byte
+		// ReceivedAt is when the head arrived.
+		ReceivedAt time.Time
 	}
 
 	// NotSent means that no byte of the request was sent.
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -33,6 +33,7 @@
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
+	"apricotrudder.dev/apricotd/internal/process/noticer"
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
@@ -87,6 +88,7 @@
 	Tuner      *tuner.Tuner
 	Correlator *correlator.Correlator
 	Quarantine *quarantiner.Quarantiner
+	Noticer    *noticer.Noticer
 	// OnBroken is called when the server has closed a connection without
 	// sending an answer.
 	OnBroken func()
@@ -96,6 +98,7 @@
 
 	leaving         atomic.Bool
 	waiting         atomic.Int64
+	sent            atomic.Int64 // requests sent to the server
 	limit           atomic.Int64 // concurrency limit
 	meanServiceTime atomic.Int64 // nanoseconds
 
@@ -149,6 +152,10 @@
 	}
 }
 
+// SentCount returns the number of requests that were sent to the server since
+// the start, repeated sends included.
+func (i *Invoker) SentCount() int64 { return i.sent.Load() }
+
 // Run runs a request and returns its result.
 func (i *Invoker) Run(ctx context.Context, run *linkwire.Run) *linkwire.Result {
 	deadline := time.Now().Add(time.Duration(run.RemainingMs) * time.Millisecond)
@@ -269,9 +276,11 @@
 		Body:       run.Body,
 		Idempotent: run.Idempotent,
 	}
+	i.sent.Add(1)
+	sentAt := time.Now()
 	switch o := i.Exchanger.Do(ctx, call).(type) {
 	case exchanger.Response:
-		return i.translateResponse(o)
+		return i.translateResponse(o, id, sentAt)
 	case exchanger.NotSent:
 		if ctx.Err() != nil {
 			return refusalResult(ContextReason(ctx), o.Err.Error(), 0), false
@@ -290,11 +299,16 @@
 	}
 }
 
-func (i *Invoker) translateResponse(response exchanger.Response) (result *linkwire.Result, idChanged bool) {
+// translateResponse translates the response to a request that was sent under an
+// id.
+func (i *Invoker) translateResponse(response exchanger.Response, id string, sentAt time.Time) (result *linkwire.Result, idChanged bool) {
 	if response.Status == http.StatusMisdirectedRequest && response.Fields.Get(i.Names.Receipt) == "" {
-		idChanged = i.Identifier.SetReported(response.Fields.Get(i.Names.Server))
+		actual := response.Fields.Get(i.Names.Server)
+		idChanged = i.Identifier.SetReported(actual)
+		i.Noticer.Observe(actual, response.Fields, sentAt, response.ReceivedAt)
 		return markArrived(refusalResult(Shed, "another backend server has the address", unreachableRetryAfter)), idChanged
 	}
+	i.Noticer.Observe(id, response.Fields, sentAt, response.ReceivedAt)
 	if response.Fields.Get(i.Names.NotRun) != "" {
 		wait := max(minShedRetryAfter, retryAfter(response.Fields))
 		return markArrived(refusalResult(Shed, fmt.Sprintf("the backend server answered %d", response.Status), wait)), false
--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -51,6 +51,8 @@
 	NotRun:        "Notrun",
 	Caller:        "Caller",
 	APIKey:        "Key",
+	RateLimit:     "Limit",
+	Leaving:       "Leaving",
 }
 
 type (
--- a/apricotd/mesher/loadlog.go
+++ b/apricotd/mesher/loadlog.go
@@ -15,6 +15,7 @@
 func (n *Node) logLoad(ctx context.Context) {
 	ticker := time.NewTicker(loadLogInterval)
 	defer ticker.Stop()
+	sentBefore := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -22,7 +23,11 @@
 		case <-ticker.C:
 		}
 		load := n.invoker.Load()
+		sent := n.invoker.SentCount()
+		server, notice := n.noticer.Current()
 		fields := logrus.Fields{
+			"server":     server,
+			"sent":       sent - sentBefore,
 			"running":    load.Running,
 			"waiting":    load.Waiting,
 			"slots":      load.Slots,
@@ -30,6 +35,10 @@
 			"excess":     n.estimator.Excess(),
 			"downstream": n.proxier.OverloadEstimates(),
 		}
+		sentBefore = sent
+		if notice.Limited {
+			fields["rateLimit"] = notice.Rate
+		}
 		n.Log.WithFields(fields).Info("load estimates")
 	}
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -39,6 +39,7 @@
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
+	"apricotrudder.dev/apricotd/internal/process/noticer"
 	"apricotrudder.dev/apricotd/internal/process/picker"
 	"apricotrudder.dev/apricotd/internal/process/policer"
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
@@ -111,6 +112,7 @@
 	estimator     *estimator.Estimator
 	correlator    *correlator.Correlator
 	quarantine    *quarantiner.Quarantiner
+	noticer       *noticer.Noticer
 	checkingCrash atomic.Bool // a crash check of the local backend server is under way
 	invoker       *invoker.Invoker
 	proxier       *proxier.Proxier
@@ -185,6 +187,7 @@
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
 	n.quarantine = &quarantiner.Quarantiner{}
+	n.noticer = &noticer.Noticer{Names: n.Names, Log: n.Log}
 	n.invoker = &invoker.Invoker{
 		Names:      n.Names,
 		Exchanger:  n.exchanger,
@@ -194,6 +197,7 @@
 		Tuner:      &tuner.Tuner{},
 		Correlator: n.correlator,
 		Quarantine: n.quarantine,
+		Noticer:    n.noticer,
 		OnBroken:   n.checkCrash,
 		Downstream: func(route string) throttler.Overload { return n.proxier.Downstream(route) },
 	}
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -63,10 +64,22 @@
 	return nil
 }
 
+// rateLimit returns the rate that the local backend server accepts, in requests
+// per second; infinite if it states none.
+func (n *Node) rateLimit() float64 {
+	if _, notice := n.noticer.Current(); notice.Limited {
+		return notice.Rate
+	}
+	return math.Inf(1)
+}
+
 func (n *Node) registerMetrics() {
 	n.metrics.NewGauge("apricot_requests_in_flight", func() float64 { return float64(n.invoker.Load().Running) })
 	n.metrics.NewGauge("apricot_requests_waiting", func() float64 { return float64(n.invoker.Load().Waiting) })
 	n.metrics.NewGauge("apricot_concurrency_limit", func() float64 { return float64(n.invoker.Load().Slots) })
+	n.metrics.NewGauge("apricot_backend_requests_sent", func() float64 { return float64(n.invoker.SentCount()) })
+	n.metrics.NewGauge("apricot_backend_rate_limit", n.rateLimit)
+	n.metrics.NewGauge("apricot_backend_malformed_notices", func() float64 { return float64(n.noticer.Malformed()) })
 	n.metrics.NewGauge("apricot_excess_ratio", n.estimator.Excess)
 	n.metrics.NewGauge("apricot_demand_requests_per_second", n.estimator.Demand)
 	n.metrics.NewGauge("apricot_config_age_seconds", func() float64 { return n.syncer.TablesAge().Seconds() })
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -115,6 +115,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	outcome := n.exchanger.Do(ctx, &exchanger.Call{
 		Method:     http.MethodGet,
 		Target:     pool.HealthPath,
@@ -126,6 +127,7 @@
 	if !ok {
 		return nil, errors.New("backend server did not answer its health check")
 	}
+	n.noticer.Observe(response.Fields.Get(n.Names.Server), response.Fields, sentAt, response.ReceivedAt)
 	return &response, nil
 }
 
--- a/apricotd/namer/namer.go
+++ b/apricotd/namer/namer.go
@@ -30,6 +30,11 @@
 	Caller string
 	// APIKey is the caller's API key.
 	APIKey string
+	// RateLimit is the number of requests per second that the responding backend
+	// server accepts from all nodes together.
+	RateLimit string
+	// Leaving shows that the responding backend server accepts no new requests.
+	Leaving string
 }
 
 // IsReserved reports whether only nodes may set a field.
