--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -289,7 +289,20 @@
 // send sends one request on a new connection and returns the response.
 func (f *fleet) send(name, request string) response {
 	f.t.Helper()
-	nc := f.dial(name)
+	return exchange(f.dial(name), request)
+}
+
+// trySend is send for a node that may be down.
+func (f *fleet) trySend(name, request string) response {
+	a := f.vms[name].address
+	nc, err := f.network.Dial(f.t.Context(), a, netip.AddrPortFrom(a, callersPort))
+	if err != nil {
+		return response{err: err}
+	}
+	return exchange(nc, request)
+}
+
+func exchange(nc net.Conn, request string) response {
 	defer nc.Close()
 	if _, err := io.WriteString(nc, request); err != nil {
 		return response{err: err}
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -55,7 +55,9 @@
 
 		mu           sync.Mutex
 		fault        fault
-		unhealthy    bool // the health check responds with 503
+		unhealthy    bool          // the health check responds with 503
+		statement    func() string // returns header lines for every response; nil means none
+		arrivalTimes []time.Time   // of all requests, health checks included
 		recorded     []requestRun
 		arrivalCount int
 		arrivalIDs   []string
@@ -149,21 +151,22 @@
 // disconnected is closed if the node closes the connection.
 func (w *worker) respond(nc net.Conn, disconnected <-chan struct{}, r *http.Request, body string) bool {
 	w.mu.Lock()
-	injected, id, unhealthy := w.fault, w.id, w.unhealthy
+	injected, id, unhealthy, stated := w.fault, w.id, w.unhealthy, w.stated()
+	w.arrivalTimes = append(w.arrivalTimes, time.Now())
 	w.mu.Unlock()
 	if r.URL.Path == "/health" {
 		status := "200 OK"
 		if unhealthy {
 			status = "503 Service Unavailable"
 		}
-		_, err := fmt.Fprintf(nc, "HTTP/1.1 %s\r\nServer: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 %s\r\nServer: %s\r\n%sContent-Length: 0\r\n\r\n", status, id, stated)
 		return err == nil
 	}
 	w.mu.Lock()
 	w.arrivalCount++
 	w.arrivalIDs = append(w.arrivalIDs, r.Header.Get("Id"))
 	w.mu.Unlock()
-	head := "Id: " + r.Header.Get("Id") + "\r\n"
+	head := "Id: " + r.Header.Get("Id") + "\r\n" + stated
 	switch {
 	case r.Header.Get("Want") != id:
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 421 Misdirected Request\r\n%sServer: %s\r\nContent-Length: 0\r\n\r\n", head, id)
@@ -177,6 +180,9 @@
 		return err == nil
 	}
 	failed := w.execute(r, disconnected)
+	w.mu.Lock()
+	head = "Id: " + r.Header.Get("Id") + "\r\n" + w.stated()
+	w.mu.Unlock()
 	if strings.Contains(r.URL.Path, "/crash") {
 		w.crash()
 		return false
@@ -211,6 +217,25 @@
 	return err == nil
 }
 
+// stated returns the header lines of the statement. w.mu must be held.
+func (w *worker) stated() string {
+	if w.statement == nil {
+		return ""
+	}
+	return w.statement()
+}
+
+// state makes every response carry the header lines from now on.
+func (w *worker) state(lines ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	text := ""
+	for _, line := range lines {
+		text += line + "\r\n"
+	}
+	w.statement = func() string { return text }
+}
+
 // execute runs a request for the service time, or until the node disconnects. It
 // reports whether a downstream call failed.
 func (w *worker) execute(r *http.Request, disconnected <-chan struct{}) (failed bool) {
