Keep the sum over all nodes within the rate that a server states

Callers saw nothing at first: a server in need, which stated in its answers that it accepts 17 requests a second, got up to 47, and would have failed for them.

Cause: the statement passed through to callers, and no part of the node read it.

The fix: every request to a server, whether of its own VM, of a peer, a repeat or a call of a backend server, passes the node beside it, so the sum is kept there, by the admitter: requests start at the stated rate, in order of urgency, and one whose turn would come too late is refused at once as not run. That node forgets the limit when it restarts, so the answers between nodes carry it, the others remember it and send it along with their requests; the restarted node applies it until the server's first response. A limit holds until a later request is answered without it; if too few requests are sent to find out, the health check asks.

Others see such a server as large as its rate: the answers report how far the rate is used, the excess that throttles at the root is that of the rate, and a limited server does not cause throttling while others of its pool have no limit. A server that had no room for a request may still be tried by a more urgent one.

--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -6,7 +6,9 @@
 // started, and that within a pool a higher class is never refused while a lower
 // one is admitted. Within a class a free slot goes to the organisation that has
 // received the least service in proportion to its rate (start-time fair
-// queueing).
+// queueing). If the backend server accepts only a limited rate, requests start at
+// that rate, and a request that would have to wait too long for its turn is
+// refused at once.
 //
 // # Usage
 //
@@ -44,6 +46,13 @@
 	criticalQueueFactor      = 8
 	aboveCriticalQueueFactor = 2
 	minRetryAfter            = 200 * time.Millisecond
+	// maxPacedRetryAfter bounds the retry delay while the rate is limited. The
+	// limit may end at any time.
+	maxPacedRetryAfter = 2 * time.Second
+	// criticalPacedWaitFactor lengthens MaxWait for the critical class while the
+	// rate is limited: other servers probably have no room either, and the next
+	// tokens go to this class.
+	criticalPacedWaitFactor = 4
 )
 
 // Causes of shedding.
@@ -95,6 +104,8 @@
 		organisations   map[string]*organisation
 		nextCleanup     time.Time
 		closed          bool
+		pacer           pacer
+		nextToken       *time.Timer // admits waiters when the next token is due
 	}
 
 	waiter struct {
@@ -129,6 +140,26 @@
 	a.queueWait = d
 }
 
+// SetRate limits the number of requests that start per second. If limited is
+// false, there is no such limit.
+func (a *Admitter) SetRate(limited bool, rate float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pacer.set(limited, rate, time.Now())
+	a.admitWaiting()
+}
+
+// RateUtilisation returns 1 if the limited rate allows no further request to
+// start now, more if requests wait, and 0 if the rate is not limited.
+func (a *Admitter) RateUtilisation() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.pacer.limited {
+		return 0
+	}
+	return a.pacer.utilisation(time.Now(), len(a.waiters))
+}
+
 // Close refuses all new and waiting requests; running ones continue.
 func (a *Admitter) Close() {
 	a.mu.Lock()
@@ -179,11 +210,14 @@
 		a.lastCritical = now
 	}
 	a.removeIdle(now)
-	if len(a.waiters) == 0 && a.hasFreeSlot(r.Class, now) {
+	if len(a.waiters) == 0 && a.hasFreeSlot(r.Class, now) && a.pacer.untilToken(now, 1) == 0 {
 		a.admit(r, now)
 		return nil, nil
 	}
 	w := &waiter{Request: r, arrivedAt: now, result: make(chan error, 1)}
+	if wait := a.pacer.untilToken(now, 1+a.countPreceding(w, now)); wait > a.maxWait(r) {
+		return nil, &ShedError{Cause: QueueFull, RetryAfter: a.retryAfter()}
+	}
 	if err := a.enqueue(w, now); err != nil {
 		return nil, err
 	}
@@ -192,7 +226,10 @@
 }
 
 func (a *Admitter) wait(ctx context.Context, w *waiter) error {
-	timer := time.NewTimer(a.maxWait(w.Request))
+	a.mu.Lock()
+	maxWait := a.maxWait(w.Request)
+	a.mu.Unlock()
+	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	select {
 	case err := <-w.result:
@@ -206,12 +243,13 @@
 
 // maxWait returns how long a request may wait. The critical class may wait as
 // long as it can still finish: it is served first, so it waits long only if its
-// own requests overload the backend server.
+// own requests overload the backend server. a.mu must be held.
 func (a *Admitter) maxWait(r Request) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	left := time.Until(r.Deadline)
 	if r.MaxWait > 0 {
+		if a.pacer.limited && r.Class == checker.ClassCritical {
+			return min(criticalPacedWaitFactor*r.MaxWait, left)
+		}
 		return min(r.MaxWait, left)
 	}
 	if r.Class == checker.ClassCritical {
@@ -272,6 +310,7 @@
 
 func (a *Admitter) admit(r Request, now time.Time) {
 	a.inFlight++
+	a.pacer.take(now)
 	o := a.organisation(r.Organisation, now)
 	start := max(a.virtualTime, o.finishTag)
 	a.virtualTime = start
@@ -288,6 +327,9 @@
 // retryAfter returns the estimated time in which the queue drains, over which
 // retries are to be spread.
 func (a *Admitter) retryAfter() time.Duration {
+	if a.pacer.limited {
+		return max(minRetryAfter, min(maxPacedRetryAfter, a.pacer.untilToken(time.Now(), 1+len(a.waiters))))
+	}
 	if a.limit == 0 {
 		return time.Second
 	}
--- a/apricotd/internal/process/admitter/queue.go
+++ b/apricotd/internal/process/admitter/queue.go
@@ -56,12 +56,41 @@
 		if !a.hasFreeSlot(w.Class, now) {
 			return
 		}
+		if wait := a.pacer.untilToken(now, 1); wait > 0 {
+			a.admitAfter(wait)
+			return
+		}
 		a.removeAt(i)
 		a.admit(w.Request, now)
 		w.result <- nil
 	}
 }
 
+// admitAfter calls admitWaiting after a time, instead of at an earlier request's
+// time.
+func (a *Admitter) admitAfter(wait time.Duration) {
+	if a.nextToken != nil {
+		a.nextToken.Reset(wait)
+		return
+	}
+	a.nextToken = time.AfterFunc(wait, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.admitWaiting()
+	})
+}
+
+// countPreceding returns the number of waiters with a higher priority than w.
+func (a *Admitter) countPreceding(w *waiter, now time.Time) int {
+	n := 0
+	for _, other := range a.waiters {
+		if a.precedes(other, w, now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (a *Admitter) highestPriority(now time.Time) int {
 	best := 0
 	for i, w := range a.waiters {
--- a/apricotd/internal/process/estimator/estimator.go
+++ b/apricotd/internal/process/estimator/estimator.go
@@ -49,6 +49,9 @@
 	// maxExcess bounds the throttled fraction. The requests that still pass
 	// show when the overload ends.
 	maxExcess = 0.95
+	// minUsableSlots bounds the slots that a limited rate leaves usable, so that
+	// the capacity of a server which accepts nothing is not 0.
+	minUsableSlots = 0.01
 	// minExcess is the excess of an idle server.
 	minExcess = 1 - maxRatio
 )
@@ -61,6 +64,10 @@
 		Slots   int // requests that may run at once
 		// MeanServiceTime is the mean time for which a request occupies a slot.
 		MeanServiceTime time.Duration
+		// MaxRate is the number of requests per second that the server accepts, if
+		// RateLimited is true.
+		MaxRate     float64
+		RateLimited bool
 	}
 
 	// An Estimator estimates the excess of one backend server. Its exported field
@@ -136,6 +143,7 @@
 	if load.Slots <= 0 || load.MeanServiceTime <= 0 {
 		return
 	}
+	slots := usableSlots(load)
 	seconds := elapsed.Seconds()
 	// Each refused request would have occupied a slot for the mean service
 	// time.
@@ -146,8 +154,8 @@
 		e.throttledFraction += (throttledSum/admitted - e.throttledFraction) * rateSmoothing
 	}
 	e.demand = e.arrivalRate / (1 - e.throttledFraction)
-	capacity := float64(load.Slots) / load.MeanServiceTime.Seconds()
-	correction := 1 + (targetOccupancy(load.Slots)-e.occupancy)/(capacity*queueCorrectionTime.Seconds())
+	capacity := slots / load.MeanServiceTime.Seconds()
+	correction := 1 + (targetOccupancy(slots)-e.occupancy)/(capacity*queueCorrectionTime.Seconds())
 	admitFraction := clampRatio(targetUtilisation*capacity/e.demand) * clampRatio(correction)
 	e.excess = max(minExcess, min(maxExcess, 1-admitFraction))
 }
@@ -161,6 +169,16 @@
 // targetOccupancy returns how many requests should run or wait so that hardly
 // any slot is ever free. By square-root staffing of queueing theory, a queue of
 // the square root of the number of slots absorbs the variance of arrivals.
-func targetOccupancy(slots int) float64 {
-	return float64(slots) + math.Sqrt(float64(slots))
+func targetOccupancy(slots float64) float64 {
+	return slots + math.Sqrt(slots)
+}
+
+// usableSlots returns how many slots the requests can occupy that the server
+// accepts. By Little's law it is the product of rate and service time.
+func usableSlots(load Load) float64 {
+	slots := float64(load.Slots)
+	if !load.RateLimited {
+		return slots
+	}
+	return min(slots, max(minUsableSlots, load.MaxRate*load.MeanServiceTime.Seconds()))
 }
--- a/apricotd/internal/process/estimator/estimator_test.go
+++ b/apricotd/internal/process/estimator/estimator_test.go
@@ -105,3 +105,24 @@
 		p.run(e, 0.4*capacity, 600*time.Millisecond)
 	}
 }
+
+// Guards against demand that is admitted at the root for slots that a limited rate
+// leaves unused.
+func TestLimitedRateIsTheCapacity(t *testing.T) {
+	for _, rate := range []float64{0, 0.5, 20} {
+		limited := func() Load {
+			return Load{Running: 2, Slots: 86, MeanServiceTime: 100 * time.Millisecond, RateLimited: true, MaxRate: rate}
+		}
+		e := &Estimator{Load: limited}
+		for range 40 {
+			for range 4 {
+				e.RecordRefused()
+			}
+			e.RecordAdmitted(0)
+			e.Step(sampleInterval)
+		}
+		if got := e.Excess(); got < 0.5 || got > maxExcess {
+			t.Errorf("excess at rate %v and a demand of 50 requests per second: got %v, want 0.5 to %v", rate, got, maxExcess)
+		}
+	}
+}
--- /dev/null
+++ b/apricotd/internal/process/noticer/directory.go
@@ -0,0 +1,90 @@
+package noticer
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/wire/linkwire"
+)
+
+// retention is how long the notice of a server that is no longer listed is kept.
+// An entry may reappear after the server has left.
+const retention = 10 * time.Minute
+
+type (
+	// A Directory holds the newest notice of each node's backend server. The zero
+	// value is ready to use. Memory use is one notice per node that has sent one.
+	Directory struct {
+		mu      sync.Mutex
+		entries map[netip.Addr]*directoryEntry
+	}
+
+	directoryEntry struct {
+		notice     *linkwire.Notice
+		lastListed time.Time
+	}
+)
+
+// Record records the notice that a node has sent. nil is ignored, and so is a
+// notice that is not newer than the recorded one of the same process.
+func (d *Directory) Record(node netip.Addr, m *linkwire.Notice) {
+	if m == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.entries == nil {
+		d.entries = make(map[netip.Addr]*directoryEntry)
+	}
+	if old := d.entries[node]; old != nil && old.notice.Process == m.Process && old.notice.Sequence >= m.Sequence {
+		return
+	}
+	d.entries[node] = &directoryEntry{notice: m, lastListed: time.Now()}
+}
+
+// Notice returns the notice that is in force for a node's backend server, or nil.
+func (d *Directory) Notice(node netip.Addr) *linkwire.Notice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[node]; e != nil && (e.notice.Limited || e.notice.Leaving) {
+		return e.notice
+	}
+	return nil
+}
+
+// IsLeaving reports whether a server has stated that it is leaving.
+func (d *Directory) IsLeaving(s *lister.Server) bool {
+	m := d.Notice(s.Address.Addr())
+	return m != nil && m.Leaving && m.Server == s.ID
+}
+
+// LeavingNodes returns the nodes whose backend server has stated that it is
+// leaving but is in state Ready on the list. Such a server may have started again
+// under its id.
+func (d *Directory) LeavingNodes(list *lister.List) []netip.Addr {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []netip.Addr
+	for node, e := range d.entries {
+		if s, ok := list.Server(e.notice.Server); ok && e.notice.Leaving && s.State == lister.Ready {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+// Prune drops the notices of servers that have not been listed for a long time.
+func (d *Directory) Prune(list *lister.List) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for node, e := range d.entries {
+		if _, listed := list.Server(e.notice.Server); listed {
+			e.lastListed = now
+		} else if now.Sub(e.lastListed) > retention {
+			delete(d.entries, node)
+		}
+	}
+}
--- a/apricotd/internal/process/noticer/noticer.go
+++ b/apricotd/internal/process/noticer/noticer.go
@@ -10,15 +10,21 @@
 //
 // # Usage
 //
-//	n := &noticer.Noticer{Names: names, Log: log, OnChange: announce}
+//	n := &noticer.Noticer{Names: names, Log: log, SetRate: admitter.SetRate, OnChange: announce}
 //	n.Observe(server, response.Fields, sentAt, response.ReceivedAt)
-//	if notice, ok := n.Notice(server); ok && notice.Limited { ... }
+//	if n.Notice(server).Leaving { ... }
+//
+// A Directory holds the notices that other nodes have passed on with their
+// responses. A node that restarts has forgotten the notice of its server, so the
+// others send what they know along with their requests, and Adopt applies it
+// until the first response.
 //
 // An observation takes constant time and allocates nothing while no notice is
 // in force.
 package noticer
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +35,7 @@
 
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/namer"
+	"apricotrudder.dev/wire/linkwire"
 )
 
 const (
@@ -62,6 +69,9 @@
 		// OnChange is called after a notice has come into force or has ended. It
 		// may be nil.
 		OnChange func()
+		// SetRate is called whenever the rate changes, with limited false when a
+		// limit has ended. It must not call the Noticer. It may be nil.
+		SetRate func(limited bool, rate float64)
 
 		mu         sync.Mutex
 		server     string // id of the server that the notice is from
@@ -69,20 +79,84 @@
 		observedAt time.Time // arrival of the newest response; zero: none
 		limitedAt  time.Time // arrival of the newest response with a rate
 		leavingAt  time.Time // arrival of the newest response that says that the server is leaving
+		process    uint64    // identifies this Noticer; random
+		sequence   uint64    // incremented with each change of the notice
+		changedAt  time.Time // last time that a notice came into force or ended
 		malformed  uint64
 		loggedAt   time.Time // last change that was logged
 		warnedAt   time.Time // last malformed notice that was logged
 	}
 )
 
-// Notice returns the notice of a server. ok is false if nothing is known of it.
-func (n *Noticer) Notice(server string) (notice Notice, ok bool) {
+// Notice returns the notice that is in force for a server.
+func (n *Noticer) Notice(server string) Notice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if server != n.server {
-		return Notice{}, false
+		return Notice{}
+	}
+	return n.notice
+}
+
+// Message returns the current notice for other nodes. It returns nil before the
+// first response of the server.
+func (n *Noticer) Message() *linkwire.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.observedAt.IsZero() {
+		return nil
+	}
+	return &linkwire.Notice{
+		Server:   n.server,
+		Limited:  n.notice.Limited,
+		Rate:     n.notice.Rate,
+		Leaving:  n.notice.Leaving,
+		Process:  n.process,
+		Sequence: n.sequence,
+	}
+}
+
+// ChangedWithin reports whether a notice is in force, or ended less than a time
+// ago.
+func (n *Noticer) ChangedWithin(d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.notice != Notice{} || time.Since(n.changedAt) < d
+}
+
+// NeedsProbe reports whether a notice is in force that no response has confirmed
+// for a time. The server may then have to be asked whether it still applies.
+func (n *Noticer) NeedsProbe(after time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.notice != Notice{} && time.Since(n.observedAt) > after
+}
+
+// Adopt applies another node's notice of the server, unless the server itself has
+// responded to this node. Of several notices the most restrictive applies.
+func (n *Noticer) Adopt(server string, m *linkwire.Notice) {
+	if m == nil || m.Server != server || server == "" {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if server != n.server {
+		n.reset(server)
+	}
+	if !n.observedAt.IsZero() {
+		return
+	}
+	old, now := n.notice, time.Now()
+	if m.Leaving {
+		n.notice.Leaving, n.leavingAt = true, now
+	}
+	if m.Limited && (!n.notice.Limited || m.Rate < n.notice.Rate) && m.Rate >= 0 {
+		n.notice.Limited, n.notice.Rate, n.limitedAt = true, m.Rate, now
+	}
+	if n.notice != old {
+		n.applyRate(old)
+		n.logChange(old, now)
 	}
-	return n.notice, !n.observedAt.IsZero()
 }
 
 // Current returns the notice in force and the server that it is from, which is
@@ -125,7 +199,14 @@
 	}
 	n.observeLeaving(fields, sentAt, receivedAt)
 	n.observeRate(fields, sentAt, receivedAt, isNewest)
+	n.applyRate(old)
+	if n.notice != old || first {
+		n.sequence++
+	}
 	changed = first || old.Limited != n.notice.Limited || old.Leaving != n.notice.Leaving
+	if changed {
+		n.changedAt = time.Now()
+	}
 	if changed && (!first || n.notice != Notice{}) || old.Rate != n.notice.Rate {
 		n.logChange(old, receivedAt)
 	}
@@ -161,8 +242,21 @@
 
 // reset forgets the notice of the previous server. n.mu must be held.
 func (n *Noticer) reset(server string) {
+	old := n.notice
 	n.server, n.notice = server, Notice{}
 	n.observedAt, n.limitedAt, n.leavingAt = time.Time{}, time.Time{}, time.Time{}
+	if n.process == 0 {
+		n.process = rand.Uint64()
+	}
+	n.applyRate(old)
+}
+
+// applyRate passes the rate on if it differs from that of the old notice. n.mu
+// must be held.
+func (n *Noticer) applyRate(old Notice) {
+	if n.SetRate != nil && (old.Limited != n.notice.Limited || old.Rate != n.notice.Rate) {
+		n.SetRate(n.notice.Limited, n.notice.Rate)
+	}
 }
 
 func (n *Noticer) logChange(old Notice, now time.Time) {
--- a/apricotd/internal/process/noticer/noticer_test.go
+++ b/apricotd/internal/process/noticer/noticer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -13,6 +14,8 @@
 
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/namer"
+	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/wire/linkwire"
 )
 
 func newNoticer() (*Noticer, *bytes.Buffer) {
@@ -62,7 +65,7 @@
 			fields = append(fields, parser.Field{Name: "Limit", Value: v})
 		}
 		n.Observe("i", fields, start.Add(time.Minute), start.Add(time.Minute))
-		notice, _ := n.Notice("i")
+		notice := n.Notice("i")
 		want, malformed := strings.CutSuffix(strings.TrimSpace(want), " malformed")
 		if got := notice.String(); got != want {
 			t.Errorf("rate after %q: got %s, want %s", values, got, want)
@@ -115,9 +118,9 @@
 		}
 		at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 		n.Observe(server, fields, at(sent), at(received))
-		notice, known := n.Notice(server)
-		if got := notice.String(); !known || got != strings.TrimSpace(want) {
-			t.Errorf("%s: after %q: got %s, known %v, want %s", name, response, got, known, want)
+		notice := n.Notice(server)
+		if got := notice.String(); got != strings.TrimSpace(want) {
+			t.Errorf("%s: after %q: got %s, want %s", name, response, got, want)
 		}
 	}
 }
@@ -134,3 +137,57 @@
 		t.Errorf("log lines in 3 s: got %d, want at most %d", got, want)
 	}
 }
+
+// Guards against a restarted node that ignores what its peers know, or believes
+// them more than the server.
+func TestAdoptUntilFirstResponse(t *testing.T) {
+	n, _ := newNoticer()
+	var rates []float64
+	n.SetRate = func(limited bool, rate float64) {
+		if !limited {
+			rate = -1
+		}
+		rates = append(rates, rate)
+	}
+	n.Adopt("i", &linkwire.Notice{Server: "other", Limited: true, Rate: 1})
+	n.Adopt("i", &linkwire.Notice{Server: "i", Limited: true, Rate: 9})
+	n.Adopt("i", &linkwire.Notice{Server: "i", Limited: true, Rate: 4, Leaving: true})
+	n.Adopt("i", &linkwire.Notice{Server: "i", Limited: true, Rate: 6})
+	if got, want := n.Notice("i").String(), "4 leaving"; got != want {
+		t.Errorf("adopted notices: got %s, want %s", got, want)
+	}
+	if n.Message() != nil {
+		t.Error("message before the first response: got one, want none")
+	}
+	now := time.Now().Add(time.Second)
+	n.Observe("i", parser.Fields{{Name: "Limit", Value: "7"}}, now, now)
+	n.Adopt("i", &linkwire.Notice{Server: "i", Limited: true, Rate: 1})
+	if got, want := n.Notice("i").String(), "7"; got != want {
+		t.Errorf("after a response: got %s, want %s", got, want)
+	}
+	n.Observe("j", nil, now, now)
+	if got, want := fmt.Sprint(rates), "[9 4 7 -1]"; got != want {
+		t.Errorf("rates set: got %s, want %s", got, want)
+	}
+}
+
+func TestDirectoryKeepsNewestNotice(t *testing.T) {
+	d := &Directory{}
+	node := netip.MustParseAddr("10.0.0.1")
+	s := &lister.Server{ID: "i", Address: netip.AddrPortFrom(node, 1)}
+	list := lister.New(1, []*lister.Server{s})
+	d.Record(node, &linkwire.Notice{Server: "i", Leaving: true, Process: 1, Sequence: 2})
+	d.Record(node, &linkwire.Notice{Server: "i", Process: 1, Sequence: 1})
+	d.Record(node, nil)
+	d.Prune(lister.New(2, nil))
+	if !d.IsLeaving(s) || len(d.LeavingNodes(list)) != 1 {
+		t.Error("leaving server after an older notice and a list without it: got usable, want leaving")
+	}
+	if d.IsLeaving(&lister.Server{ID: "j", Address: s.Address}) {
+		t.Error("another server at the address: got leaving, want usable")
+	}
+	d.Record(node, &linkwire.Notice{Server: "i", Process: 2, Sequence: 1})
+	if d.IsLeaving(s) || d.Notice(node) != nil {
+		t.Error("server that has started again: got leaving, want usable")
+	}
+}
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	p := &picker.Picker{DataCentre: "ba-petrzalka", Region: "bratislava"}
-//	choice, ok := p.Choose(list.Pool("licensing"), tried, isCall)
+//	choice, ok := p.Choose(list.Pool("licensing"), tried, picker.Request{Rank: rank})
 //	defer choice.Done(picker.Report{...})
 //
 // Choose examines every server of the pool. Memory use is one record per server
@@ -51,12 +51,16 @@
 	failureHalfLife = 2 * time.Second
 	// reportHalfLife is the half-life of a load report.
 	reportHalfLife = 500 * time.Millisecond
-	// fullBackoff is how long a server that had no room is skipped. For calls of
+	// fullBackoff is how long a server that had no room is skipped by requests that
+	// are not more urgent than the refused one. For calls of
 	// backend servers, fullPenalty is added to its utilisation instead: if all
 	// servers are full, waiting is better than failing a request that has already
 	// caused work.
 	fullBackoff = 60 * time.Millisecond
 	fullPenalty = 0.3
+	// maxFullBackoff bounds the time for which a server is skipped that has
+	// stated when it may have room.
+	maxFullBackoff = 500 * time.Millisecond
 	// unreachableBackoff is how long a server that could not be reached is skipped.
 	unreachableBackoff = 500 * time.Millisecond
 	// leavingTTL is how long a node's announcement that it is leaving stays valid.
@@ -94,6 +98,11 @@
 		Running int
 		Waiting int
 		Slots   int // 0: no load was reported
+		// RateUtilisation is the utilisation of the rate that the server accepts;
+		// 0 if that is not limited.
+		RateUtilisation float64
+		// RetryAfter is after what time a server without room may have some.
+		RetryAfter time.Duration
 	}
 
 	// A Picker tracks the load and the failures of servers. Its exported fields
@@ -104,35 +113,47 @@
 		// Silence returns for how long a node has sent nothing although a request
 		// is waiting for it. If nil, nodes are never skipped for silence.
 		Silence func(netip.Addr) time.Duration
+		// IsLeaving reports whether a server has stated that it is leaving. If
+		// nil, no server has.
+		IsLeaving func(*lister.Server) bool
 
 		mu      sync.Mutex
 		records map[string]*serverRecord // by server id
 		leaving map[netip.Addr]time.Time
 	}
 
+	// A Request holds the properties of a request on which the choice depends.
+	Request struct {
+		// Call is true for a call of a backend server, false for a caller's request.
+		Call bool
+		Rank int // priority; 0 is the most urgent
+	}
+
 	// A Choice is a server selected for one attempt.
 	Choice struct {
 		Server *lister.Server
 		picker *Picker
 		record *serverRecord
+		rank   int
 	}
 
 	serverRecord struct {
 		inFlight         int // requests of this node in progress at the server
 		load             int // running and waiting requests in the last report
 		slots            int
+		rateUtilisation  float64 // in the last report
 		reportedAt       time.Time
 		failureRate      float64 // moving average of failures, 0 to 1
 		failureUpdatedAt time.Time
 		avoidUntil       time.Time
 		fullUntil        time.Time
+		fullRank         int // the most urgent rank that was refused for lack of room
 	}
 )
 
-// Choose selects a server that has not been tried. isCall is true for a call of a
-// backend server, false for a caller's request. It returns false if there is no
+// Choose selects a server that has not been tried. It returns false if there is no
 // eligible server.
-func (p *Picker) Choose(servers []*lister.Server, tried map[string]bool, isCall bool) (*Choice, bool) {
+func (p *Picker) Choose(servers []*lister.Server, tried map[string]bool, rq Request) (*Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -142,7 +163,7 @@
 		lowest[d] = math.Inf(1)
 	}
 	for _, s := range servers {
-		if s.State != lister.Ready || tried[s.ID] || !p.isEligible(s, isCall, now) {
+		if s.State != lister.Ready || tried[s.ID] || !p.isEligible(s, rq, now) {
 			continue
 		}
 		d := p.distance(s)
@@ -156,7 +177,7 @@
 	}
 	r := p.recordFor(s.ID)
 	r.inFlight++
-	return &Choice{Server: s, picker: p, record: r}, true
+	return &Choice{Server: s, picker: p, record: r, rank: rq.Rank}, true
 }
 
 // pick selects among the least utilised servers of each distance.
@@ -193,6 +214,7 @@
 	rec.inFlight--
 	if r.Slots > 0 {
 		rec.load, rec.slots, rec.reportedAt = r.Running+r.Waiting, r.Slots, now
+		rec.rateUtilisation = r.RateUtilisation
 	}
 	switch r.Result {
 	case Served:
@@ -200,7 +222,10 @@
 	case Shed, Failed:
 		rec.updateFailureRate(1, now)
 	case Full:
-		rec.fullUntil = now.Add(jitter(fullBackoff))
+		if ch.rank <= rec.fullRank || !now.Before(rec.fullUntil) {
+			rec.fullRank = ch.rank
+		}
+		rec.fullUntil = now.Add(jitter(max(fullBackoff, min(maxFullBackoff, r.RetryAfter))))
 	case Unreachable:
 		rec.avoidUntil = now.Add(jitter(unreachableBackoff))
 	case Leaving:
@@ -232,8 +257,8 @@
 
 // isEligible reports whether a server is neither skipped after an earlier result,
 // nor announced as leaving, nor on a silent node.
-func (p *Picker) isEligible(s *lister.Server, isCall bool, now time.Time) bool {
-	if r := p.records[s.ID]; r != nil && (now.Before(r.avoidUntil) || !isCall && now.Before(r.fullUntil)) {
+func (p *Picker) isEligible(s *lister.Server, rq Request, now time.Time) bool {
+	if r := p.records[s.ID]; r != nil && (now.Before(r.avoidUntil) || r.hasNoRoom(rq, now)) {
 		return false
 	}
 	if until, ok := p.leaving[s.Address.Addr()]; ok {
@@ -242,9 +267,19 @@
 		}
 		delete(p.leaving, s.Address.Addr())
 	}
+	if p.IsLeaving != nil && p.IsLeaving(s) {
+		return false
+	}
 	return p.Silence == nil || p.Silence(s.Address.Addr()) < maxSilence
 }
 
+// hasNoRoom reports whether a request of the same or of a more urgent rank has just
+// been refused for lack of room. More urgent requests may still be admitted, since
+// they precede the others in the server's queue.
+func (r *serverRecord) hasNoRoom(rq Request, now time.Time) bool {
+	return !rq.Call && rq.Rank >= r.fullRank && now.Before(r.fullUntil)
+}
+
 // distance returns 0 for the local data centre, 1 for the local region and 2 for
 // other regions.
 func (p *Picker) distance(s *lister.Server) int {
@@ -275,8 +310,9 @@
 	if now.Before(s.ColdUntil) {
 		slots *= coldSlotFraction
 	}
-	load := float64(r.load) * decayer.Factor(now.Sub(r.reportedAt), reportHalfLife)
-	utilisation := max(load, float64(r.inFlight))/slots + failurePenalty*r.failureRate*decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife)
+	age := decayer.Factor(now.Sub(r.reportedAt), reportHalfLife)
+	utilisation := max(float64(r.load)*age/slots, float64(r.inFlight)/slots, r.rateUtilisation*age)
+	utilisation += failurePenalty * r.failureRate * decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife)
 	if now.Before(r.fullUntil) {
 		utilisation += fullPenalty
 	}
--- a/apricotd/internal/process/picker/picker_test.go
+++ b/apricotd/internal/process/picker/picker_test.go
@@ -22,7 +22,7 @@
 func countChoices(p *Picker, list []*lister.Server, n int, hold bool, report func(id string) Report) map[string]int {
 	out := make(map[string]int)
 	for range n {
-		choice, ok := p.Choose(list, nil, false)
+		choice, ok := p.Choose(list, nil, Request{})
 		if !ok {
 			continue
 		}
@@ -89,8 +89,51 @@
 		if got := countChoices(p, list, 10, true, nil); got["n1"] != 0 {
 			t.Errorf("requests at a leaving server: got %d, want 0", got["n1"])
 		}
-		if _, ok := p.Choose(list, map[string]bool{"1": true}, false); ok {
+		if _, ok := p.Choose(list, map[string]bool{"1": true}, Request{}); ok {
 			t.Error("choice among leaving and tried servers: got one, want none")
 		}
 	})
 }
+
+// Guards against a server with a limited rate looking as large as its slots.
+func TestLimitedServerGetsItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Picker{DataCentre: "n0", Region: "n"}
+		list := servers("n0", "n1")
+		got := countChoices(p, list, 200, false, func(id string) Report {
+			if id == "0" {
+				return Report{Result: Full, Running: 1, Slots: 10, RateUtilisation: 1, RetryAfter: time.Second}
+			}
+			return Report{Result: Served, Running: 3, Slots: 10}
+		})
+		if got["n0"] > 10 {
+			t.Errorf("choices in 1 s of a local server without room in its rate: got %v, want at most 10", got)
+		}
+	})
+}
+
+// Guards against urgent requests being kept from a server because it had no room
+// for less urgent ones.
+func TestUrgentRequestsMayTryAFullServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Picker{DataCentre: "n0", Region: "n"}
+		list := servers("n0")
+		choose := func(rank int, result Result) bool {
+			choice, ok := p.Choose(list, nil, Request{Rank: rank})
+			if ok {
+				choice.Done(Report{Result: result})
+			}
+			return ok
+		}
+		choose(2, Full)
+		if choose(2, Served) || choose(3, Served) {
+			t.Error("requests of the same or a less urgent rank: got the full server, want none")
+		}
+		if !choose(1, Full) {
+			t.Error("more urgent request: got no server, want the full one")
+		}
+		if choose(1, Served) || !choose(0, Served) {
+			t.Error("after a refusal at rank 1: want no server for rank 1 and the full one for rank 0")
+		}
+	})
+}
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -149,6 +149,9 @@
 		Slots:     uint32(i.limit.Load()),
 		Leaving:   i.isLeaving(),
 		ServiceMs: float64(i.meanServiceTime.Load()) / float64(time.Millisecond),
+
+		Notice:          i.Noticer.Message(),
+		RateUtilisation: i.Admitter.RateUtilisation(),
 	}
 }
 
@@ -179,6 +182,7 @@
 }
 
 func (i *Invoker) admit(ctx context.Context, run *linkwire.Run, deadline time.Time) *linkwire.Result {
+	i.adoptNotice(run)
 	if refusal := i.check(run); refusal != nil {
 		return refusal
 	}
@@ -230,12 +234,24 @@
 		return refusal
 	}
 	result, idChanged := i.send(ctx, run, deadline)
-	if idChanged && i.check(run) == nil {
+	if !idChanged {
+		return result
+	}
+	i.adoptNotice(run)
+	if id, _, _ := i.Identifier.Identity(); i.check(run) == nil && !i.Noticer.Notice(id).Limited {
 		result, _ = i.send(ctx, run, deadline)
 	}
 	return result
 }
 
+// adoptNotice applies what the sender of the request knows of the server.
+func (i *Invoker) adoptNotice(run *linkwire.Run) {
+	if run.Notice != nil {
+		id, _, _ := i.Identifier.Identity()
+		i.Noticer.Adopt(id, run.Notice)
+	}
+}
+
 // check refuses a request that must not be sent to the server now.
 func (i *Invoker) check(run *linkwire.Run) *linkwire.Result {
 	_, pool, ok := i.Identifier.Identity()
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -11,6 +11,7 @@
 	"apricotrudder.dev/apricotd/internal/process/picker"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
+	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -22,7 +23,7 @@
 		if !time.Now().Before(rq.deadline) {
 			return last
 		}
-		choice, ok := p.Picker.Choose(p.List().Pool(rq.pool), tried, rq.isCall)
+		choice, ok := p.Picker.Choose(p.List().Pool(rq.pool), tried, picker.Request{Call: rq.isCall, Rank: rq.rank})
 		if !ok {
 			return last
 		}
@@ -74,10 +75,13 @@
 	defer cancel()
 	var result *linkwire.Result
 	var err error
-	if address := c.Server.Address.Addr(); address == p.Self {
-		result = p.Local.Run(ctx, p.runMessage(rq))
+	address := c.Server.Address.Addr()
+	run := p.runMessage(rq)
+	run.Notice = p.Notices.Notice(address)
+	if address == p.Self {
+		result = p.Local.Run(ctx, run)
 	} else {
-		result, err = p.Linker.Exchange(ctx, address, p.runMessage(rq))
+		result, err = p.Linker.Exchange(ctx, address, run)
 	}
 	if err != nil {
 		return p.exchangeFailed(ctx, rq, c, err)
@@ -85,11 +89,33 @@
 	o, report := p.parseResult(rq, result)
 	c.Done(report)
 	if load := result.GetLoad(); load != nil {
-		p.Throttler.Observe(rq.route.Name, c.Server.ID, throttler.Overload{Excess: load.Excess, Bottleneck: load.Bottleneck, Demand: load.Demand})
+		p.Notices.Record(address, load.Notice)
+		p.Throttler.Observe(rq.route.Name, c.Server.ID, p.reportedOverload(rq.pool, load))
 	}
 	return o
 }
 
+// reportedOverload returns the overload that a node has reported. The excess of a
+// server that limits its rate causes no throttling while others of the pool have
+// no limit, because those may never have been asked.
+func (p *Proxier) reportedOverload(pool string, load *linkwire.Load) throttler.Overload {
+	o := throttler.Overload{Excess: load.Excess, Bottleneck: load.Bottleneck, Demand: load.Demand}
+	if load.GetNotice().GetLimited() && load.Bottleneck == pool && p.hasUnlimitedServer(pool) {
+		o.Excess = min(0, o.Excess)
+	}
+	return o
+}
+
+func (p *Proxier) hasUnlimitedServer(pool string) bool {
+	for _, s := range p.List().Pool(pool) {
+		m := p.Notices.Notice(s.Address.Addr())
+		if s.State == lister.Ready && (m == nil || m.Server != s.ID || !m.Limited && !m.Leaving) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Proxier) runMessage(rq *request) *linkwire.Run {
 	left := time.Until(rq.deadline)
 	run := &linkwire.Run{
@@ -152,7 +178,12 @@
 // the picker.
 func (p *Proxier) parseResult(rq *request, result *linkwire.Result) (outcome, picker.Report) {
 	load := result.GetLoad()
-	report := picker.Report{Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots())}
+	report := picker.Report{
+		Running:         int(load.GetRunning()),
+		Waiting:         int(load.GetWaiting()),
+		Slots:           int(load.GetSlots()),
+		RateUtilisation: load.GetRateUtilisation(),
+	}
 	if answer := result.GetAnswer(); answer != nil {
 		rq.arrivals++
 		report.Result = picker.Served
@@ -163,6 +194,9 @@
 		rq.arrivals++
 	}
 	report.Result = pickerResult(r)
+	if load.GetNotice().GetLimited() {
+		report.RetryAfter = time.Duration(r.GetRetryAfterMs()) * time.Millisecond
+	}
 	if !r.GetNotRun() {
 		return unknown{reason: r.GetReason(), detail: r.GetDetail()}, report
 	}
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -30,6 +30,7 @@
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/process/correlator"
+	"apricotrudder.dev/apricotd/internal/process/noticer"
 	"apricotrudder.dev/apricotd/internal/process/picker"
 	"apricotrudder.dev/apricotd/internal/process/policer"
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
@@ -94,6 +95,9 @@
 		RateLimiter *policer.Policer
 		Linker      *linker.Linker
 		Local       *invoker.Invoker
+		// Notices holds what the backend servers of other nodes and of this one
+		// have stated about themselves.
+		Notices *noticer.Directory
 		// Quarantine tracks the requests that crash backend servers.
 		Quarantine *quarantiner.Quarantiner
 		// Throttler rejects callers' requests whose call trees are overloaded.
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -113,7 +113,9 @@
 	correlator    *correlator.Correlator
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
-	checkingCrash atomic.Bool // a crash check of the local backend server is under way
+	notices       *noticer.Directory
+	probeRequests chan struct{} // a probe is wanted before the next interval
+	checkingCrash atomic.Bool   // a crash check of the local backend server is under way
 	invoker       *invoker.Invoker
 	proxier       *proxier.Proxier
 	readers       *readerSelector
@@ -167,6 +169,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Limits.MemoryMB) * (1 << 20)))
 	}
 	n.metrics = metrics.NewSet()
+	n.probeRequests = make(chan struct{}, 1)
 	n.SetPool(s.Pool)
 	n.syncer = &syncer.Syncer{
 		Store:    n.Store,
@@ -187,11 +190,18 @@
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
 	n.quarantine = &quarantiner.Quarantiner{}
-	n.noticer = &noticer.Noticer{Names: n.Names, Log: n.Log}
+	admission := &admitter.Admitter{}
+	n.noticer = &noticer.Noticer{
+		Names:    n.Names,
+		Log:      n.Log,
+		SetRate:  admission.SetRate,
+		OnChange: func() { n.linker.Announce(nil) },
+	}
+	n.notices = &noticer.Directory{}
 	n.invoker = &invoker.Invoker{
 		Names:      n.Names,
 		Exchanger:  n.exchanger,
-		Admitter:   &admitter.Admitter{},
+		Admitter:   admission,
 		Identifier: n.identifier,
 		Estimator:  n.estimator,
 		Tuner:      &tuner.Tuner{},
@@ -251,6 +261,7 @@
 		RateLimiter: n.policer,
 		Linker:      n.linker,
 		Local:       n.invoker,
+		Notices:     n.notices,
 		Quarantine:  n.quarantine,
 		Throttler:   &throttler.Throttler{},
 		Correlator:  n.correlator,
@@ -261,11 +272,14 @@
 
 func (n *Node) localLoad() estimator.Load {
 	load := n.invoker.Load()
+	_, notice := n.noticer.Current()
 	return estimator.Load{
 		Running:         int(load.Running),
 		Waiting:         int(load.Waiting),
 		Slots:           int(load.Slots),
 		MeanServiceTime: time.Duration(load.ServiceMs * float64(time.Millisecond)),
+		MaxRate:         notice.Rate,
+		RateLimited:     notice.Limited,
 	}
 }
 
@@ -321,6 +335,10 @@
 	}
 	if list := n.syncer.List(); list != nil {
 		n.picker.Prune(list)
+		n.notices.Prune(list)
+	}
+	if !n.identifier.IsReported() {
+		n.requestProbe()
 	}
 	n.connectPersistentPeers()
 	n.announceState()
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -76,22 +76,32 @@
 	v.id, v.running = "", false
 }
 
-// runProbe probes the local backend server for its id while the id is not known.
+// runProbe probes the local backend server for its id while the id is not known,
+// and for its notice while it gets too few requests to end one.
 func (n *Node) runProbe(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
-		if !n.identifier.IsReported() {
+		if !n.identifier.IsReported() || n.noticer.NeedsProbe(noticeProbeAfter) {
 			n.probeOnce(ctx)
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-n.probeRequests:
 		}
 	}
 }
 
+// requestProbe asks for a probe without waiting for the next interval.
+func (n *Node) requestProbe() {
+	select {
+	case n.probeRequests <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) probeOnce(ctx context.Context) {
 	response, err := n.requestHealth(ctx)
 	if err != nil || !n.identifier.SetReported(response.Fields.Get(n.Names.Server)) {
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -31,6 +31,7 @@
 		Served:  n.readers.isReader() && n.syncer.IsStoreAvailable(),
 		Vouched: n.vouching.current(),
 		Region:  n.Settings.Region,
+		Notice:  n.announcedNotice(),
 	}
 }
 
@@ -56,8 +57,11 @@
 
 func (n *Node) handleBeat(l *linker.Link, b *linkwire.Beat) {
 	if b.Reply {
-		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: n.beat()}})
+		reply := n.beat()
+		reply.Notice = n.noticer.Message()
+		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: reply}})
 	}
+	n.notices.Record(l.Peer, b.Notice)
 	n.readers.recordBeat(l.Peer, b.Region, b.Served)
 	if b.Served {
 		n.syncer.RecordPeerStoreAccess()
