Send nothing to a server that states that it is leaving

Callers of a server that leaves would have been cut off when it exits: it states in its answers that it leaves, and every node went on sending to it for as long as the list named it.

Besides, what makes a server 'leaving' elsewhere is remembered for 2 s (picker) or until the node beside it restarts (invoker).

Only the server ends it: by an answer without the statement, for which its node probes it once a second, and for which the others ask that node.

--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -267,11 +267,14 @@
 }
 
 // isLeaving reports whether the server accepts no new requests: its node is
-// stopping, or its entry says so or has been removed.
+// stopping, it says so itself, or its entry says so or has been removed.
 func (i *Invoker) isLeaving() bool {
 	if i.leaving.Load() {
 		return true
 	}
+	if id, _, _ := i.Identifier.Identity(); i.Noticer.Notice(id).Leaving {
+		return true
+	}
 	s, listed, wasListed := i.Identifier.Listed()
 	if !listed {
 		return wasListed
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -145,6 +145,7 @@
 	wg.Go(func() { n.reportDemand(background) })
 	wg.Go(func() { n.estimator.Run(background) })
 	wg.Go(func() { n.logLoad(background) })
+	wg.Go(func() { n.refreshNotices(background) })
 	n.Log.WithField("vm", n.Settings.VM).Info("node started")
 	select {
 	case <-ctx.Done():
@@ -221,7 +222,7 @@
 		Dial:        n.Dial,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence}
+	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
--- a/apricotd/mesher/notices.go
+++ b/apricotd/mesher/notices.go
@@ -1,6 +1,7 @@
 package mesher
 
 import (
+	"context"
 	"time"
 
 	"apricotrudder.dev/wire/linkwire"
@@ -10,6 +11,9 @@
 	// noticeProbeAfter is the time without a response after which the local backend
 	// server is probed to find out whether its notice is still in force.
 	noticeProbeAfter = time.Second
+	// noticeRefreshInterval is how often a node asks whether a server that has
+	// stated that it is leaving, but is listed as ready, has started again.
+	noticeRefreshInterval = time.Second
 	// noticeRepeat is how long heartbeats contain a notice that has ended.
 	noticeRepeat = 5 * time.Second
 )
@@ -22,3 +26,29 @@
 	}
 	return n.noticer.Message()
 }
+
+// refreshNotices periodically asks the nodes of leaving servers for their notice.
+func (n *Node) refreshNotices(ctx context.Context) {
+	ticker := time.NewTicker(noticeRefreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		list := n.syncer.List()
+		if list == nil {
+			continue
+		}
+		for _, node := range n.notices.LeavingNodes(list) {
+			if node == n.Settings.Listen.Links.Addr() {
+				n.notices.Record(node, n.noticer.Message())
+				continue
+			}
+			beat := n.beat()
+			beat.Reply = true
+			n.linker.SendFrame(node, &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: beat}})
+		}
+	}
+}
