Bound messages without end from the backend server and from peers

A backend server in trouble may send a head or a body that does not end. Empty lines before a head, interim responses, chunks of one byte and trailers were read without any bound but the deadline: 14 to 300 MB in 5 s (TestEndlessResponses before the change). A frame that arrives a byte at a time kept its link forever.

Cause: limits for each message only, memory allocated for the length that a message states, and parts of the framing that no limit counted.

The fix: buffers grow with the data that has arrived; what exceeds 64 KiB of each message is reserved from a tenth of the process's memory, shared by all connections, so that small responses are still received meanwhile; empty lines and trailers count, interim responses are counted, and a frame has a deadline by its length. The connection is closed, and the caller is told that its request may have run; a request that may not be repeated is not.

--- a/apricotd/internal/connection/acceptor/conn.go
+++ b/apricotd/internal/connection/acceptor/conn.go
@@ -88,7 +88,7 @@
 	if request.Continue && request.Framing.Kind != parser.NoBody {
 		c.sendContinue()
 	}
-	body, err := parser.ReadBody(c.br, request.Framing, limits.BodyBytes)
+	body, err := parser.ReadBody(c.br, request.Framing, limits.BodyBytes, nil)
 	if err != nil {
 		return c.reject(err, http.StatusRequestEntityTooLarge)
 	}
--- a/apricotd/internal/connection/exchanger/conn.go
+++ b/apricotd/internal/connection/exchanger/conn.go
@@ -22,6 +22,7 @@
 		nc        net.Conn
 		br        *bufio.Reader
 		idField   string
+		memory    parser.Memory
 		idleSince time.Time
 		idleLimit time.Duration
 
@@ -45,8 +46,8 @@
 	errDiscarded   = errors.New("connection discarded")
 )
 
-func newConn(nc net.Conn, idField string) *conn {
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, bufferBytes), idField: idField, idleLimit: maxIdleTime}
+func newConn(nc net.Conn, idField string, memory parser.Memory) *conn {
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, bufferBytes), idField: idField, memory: memory, idleLimit: maxIdleTime}
 }
 
 // begin makes call the request in flight on the connection and returns the
@@ -130,7 +131,7 @@
 // readMessage reads one final response and returns when its head arrived. It
 // skips interim (1xx) responses.
 func (c *conn) readMessage(method string) (response *parser.Response, body []byte, receivedAt time.Time, err error) {
-	for {
+	for range 1 + maxInterimResponses {
 		head, err := parser.ReadHead(c.br, maxHeadBytes)
 		if err != nil {
 			return nil, nil, time.Time{}, err
@@ -143,12 +144,13 @@
 		if response.Status < 200 {
 			continue
 		}
-		body, err := parser.ReadBody(c.br, response.Framing, maxBodyBytes)
+		body, err := parser.ReadBody(c.br, response.Framing, maxBodyBytes, c.memory)
 		if err != nil {
 			return nil, nil, time.Time{}, err
 		}
 		return response, body, receivedAt, nil
 	}
+	return nil, nil, time.Time{}, errors.New("too many interim responses")
 }
 
 // deliver ends the call in flight with a result. It returns false if the
--- a/apricotd/internal/connection/exchanger/exchanger.go
+++ b/apricotd/internal/connection/exchanger/exchanger.go
@@ -4,7 +4,9 @@
 // is complete and belongs to its request, and that NotSent is returned only if
 // no byte of the request can have been sent. A response that carries the id of
 // another request is dropped, and a connection that receives unsolicited or
-// malformed data is closed.
+// malformed data is closed. So is one on which a response does not end: its head,
+// its body and the memory for all bodies together are limited, and the deadline
+// applies to the complete response.
 //
 // # Usage
 //
@@ -52,6 +54,9 @@
 	// maxMismatchedResponses is the number of responses read for one call, all
 	// with the id of another request, after which the connection is closed.
 	maxMismatchedResponses = 8
+	// maxInterimResponses is the number of interim (1xx) responses before a final
+	// one, after which the connection is closed.
+	maxInterimResponses = 32
 )
 
 type (
@@ -100,6 +105,9 @@
 		Address netip.AddrPort
 		// IDField is the name of the header field with the request id.
 		IDField string
+		// Memory limits what the responses that are being received may occupy. If
+		// nil, there is no common limit.
+		Memory parser.Memory
 		// Dial opens connections. If nil, connections use TCP.
 		Dial Dialer
 
@@ -180,7 +188,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to backend server: %w", err)
 	}
-	c := newConn(nc, e.IDField)
+	c := newConn(nc, e.IDField, e.Memory)
 	go c.read()
 	return c, nil
 }
--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -25,8 +26,14 @@
 	// header fields.
 	maxFrameBytes = 80 << 20
 	ioBufferBytes = 8 << 10
+	// frameLengthBytes is the size of the length before each frame.
+	frameLengthBytes = 4
 	// writeTimeout bounds how long a write may block on a peer that does not read.
 	writeTimeout = 3 * time.Second
+	// A frame that has begun to arrive must be complete after frameTimeout and the
+	// time for its length at minFrameRate, in bytes per second.
+	frameTimeout = 10 * time.Second
+	minFrameRate = 64 << 10
 )
 
 // Values of pending.sendState.
@@ -197,11 +204,11 @@
 	if o.pending != nil && !o.pending.sendState.CompareAndSwap(queued, written) {
 		return buffer, nil
 	}
-	buffer, err := proto.MarshalOptions{}.MarshalAppend(append(buffer[:0], 0, 0, 0, 0), o.frame)
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(append(buffer[:0], make([]byte, frameLengthBytes)...), o.frame)
 	if err != nil {
 		return buffer, fmt.Errorf("encode frame: %w", err)
 	}
-	binary.BigEndian.PutUint32(buffer, uint32(len(buffer)-4))
+	binary.BigEndian.PutUint32(buffer, uint32(len(buffer)-frameLengthBytes))
 	if _, err := bw.Write(buffer); err != nil {
 		return buffer, fmt.Errorf("write frame: %w", err)
 	}
@@ -214,7 +221,7 @@
 func (l *Link) read() {
 	br := bufio.NewReaderSize(l.nc, ioBufferBytes)
 	for {
-		frame, err := readFrame(br)
+		frame, err := l.readFrame(br)
 		if err != nil {
 			l.close(err)
 			return
@@ -224,18 +231,28 @@
 	}
 }
 
-func readFrame(br *bufio.Reader) (*linkwire.Frame, error) {
-	var size [4]byte
-	if _, err := io.ReadFull(br, size[:]); err != nil {
+func (l *Link) readFrame(br *bufio.Reader) (*linkwire.Frame, error) {
+	if _, err := br.Peek(1); err != nil {
 		return nil, fmt.Errorf("read frame: %w", err)
 	}
-	n := binary.BigEndian.Uint32(size[:])
+	if !isFrameBuffered(br) {
+		_ = l.nc.SetReadDeadline(time.Now().Add(frameTimeout))
+		defer func() { _ = l.nc.SetReadDeadline(time.Time{}) }()
+	}
+	var size [frameLengthBytes]byte
+	if _, err := io.ReadFull(br, size[:]); err != nil {
+		return nil, fmt.Errorf("read length of frame: %w", err)
+	}
+	n := int64(binary.BigEndian.Uint32(size[:]))
 	if n > maxFrameBytes {
 		return nil, errors.Errorf("read frame: got %d bytes, want at most %d", n, maxFrameBytes)
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(br, data); err != nil {
-		return nil, fmt.Errorf("read frame: %w", err)
+	if int64(br.Buffered()) < n {
+		_ = l.nc.SetReadDeadline(time.Now().Add(frameTimeout + time.Duration(n)*time.Second/minFrameRate))
+	}
+	data, err := parser.ReadBody(br, parser.Framing{Kind: parser.FixedLength, Length: n}, maxFrameBytes, l.linker.Memory)
+	if err != nil {
+		return nil, fmt.Errorf("read frame of %d bytes: %w", n, err)
 	}
 	frame := &linkwire.Frame{}
 	if err := proto.Unmarshal(data, frame); err != nil {
@@ -244,6 +261,15 @@
 	return frame, nil
 }
 
+// isFrameBuffered reports whether a complete frame is in the buffer.
+func isFrameBuffered(br *bufio.Reader) bool {
+	if br.Buffered() < frameLengthBytes {
+		return false
+	}
+	size, err := br.Peek(frameLengthBytes)
+	return err == nil && int64(br.Buffered()-frameLengthBytes) >= int64(binary.BigEndian.Uint32(size))
+}
+
 // dispatch handles a received frame.
 func (l *Link) dispatch(frame *linkwire.Frame) {
 	switch kind := frame.Kind.(type) {
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -31,6 +31,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
+	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -79,7 +80,10 @@
 		Receive func(l *Link, frame *linkwire.Frame)
 		// Dial opens a connection. If nil, TCP is used.
 		Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-		Log  logrus.FieldLogger
+		// Memory limits what the frames that are being received may occupy. If
+		// nil, there is no common limit.
+		Memory parser.Memory
+		Log    logrus.FieldLogger
 
 		ctx   context.Context
 		mu    sync.Mutex
--- a/apricotd/internal/connection/parser/parser.go
+++ b/apricotd/internal/connection/parser/parser.go
@@ -9,9 +9,11 @@
 //
 //	head, err := parser.ReadHead(br, maxBytes)
 //	request, err := parser.ParseRequest(head)
-//	body, err := parser.ReadBody(br, request.Framing, maxBytes)
+//	body, err := parser.ReadBody(br, request.Framing, maxBytes, memory)
 //
-// Bodies are read into memory; the caller passes the size limit.
+// Bodies are read into memory; the caller passes the size limit. Memory is
+// allocated as data arrives, whatever length a message states, and beyond a small
+// part of each body it is reserved first.
 package parser
 
 import (
@@ -40,6 +42,17 @@
 var (
 	ErrTooLarge  = errors.New("message is larger than allowed")
 	ErrMalformed = errors.New("message is malformed")
+	ErrNoMemory  = errors.New("no memory is left for the message")
+)
+
+const (
+	// minBufferBytes is the initial buffer for a body of unknown length.
+	minBufferBytes = 512
+	// unreservedBytes is the part of each body for which no memory is reserved, so
+	// that small bodies are received while large ones use all that may be reserved.
+	unreservedBytes = 64 << 10
+	// maxTrailerBytes bounds the trailer section of a chunked body.
+	maxTrailerBytes = 64 << 10
 )
 
 type (
@@ -61,6 +74,14 @@
 	// Fields is a header section in the order received.
 	Fields []Field
 
+	// Memory limits what the bodies that are being received may occupy.
+	Memory interface {
+		// Reserve reserves n bytes. It returns false if they are not available.
+		Reserve(n int) bool
+		// Release returns n reserved bytes.
+		Release(n int)
+	}
+
 	// A Request is a parsed request head.
 	Request struct {
 		Method  string
@@ -113,13 +134,15 @@
 }
 
 // ReadHead reads a message head including the empty line that ends it. It
-// skips empty lines before the head (RFC 9112, section 2.2).
+// skips empty lines before the head (RFC 9112, section 2.2), which count towards
+// the limit.
 func ReadHead(br *bufio.Reader, limit int) ([]byte, error) {
 	var head []byte
+	skipped := 0
 	for {
 		line, err := br.ReadSlice('\n')
 		head = append(head, line...)
-		if len(head) > limit {
+		if skipped+len(head) > limit {
 			return nil, fmt.Errorf("read head: %w", ErrTooLarge)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
@@ -132,6 +155,7 @@
 			return nil, fmt.Errorf("read head: line ends without a carriage return: %w", ErrMalformed)
 		}
 		if len(head) == len("\r\n") {
+			skipped += len(head)
 			head = head[:0]
 			continue
 		}
@@ -189,8 +213,9 @@
 	return r, nil
 }
 
-// ReadBody reads a complete body of at most limit bytes.
-func ReadBody(br *bufio.Reader, f Framing, limit int64) ([]byte, error) {
+// ReadBody reads a complete body of at most limit bytes. A nil memory does not limit
+// what all bodies occupy together.
+func ReadBody(br *bufio.Reader, f Framing, limit int64, memory Memory) ([]byte, error) {
 	switch f.Kind {
 	case NoBody:
 		return nil, nil
@@ -198,36 +223,60 @@
 		if f.Length > limit {
 			return nil, fmt.Errorf("read body of %d bytes: %w", f.Length, ErrTooLarge)
 		}
-		body := make([]byte, f.Length)
-		if _, err := io.ReadFull(br, body); err != nil {
-			return nil, fmt.Errorf("read body: %w", unexpectedEOF(err))
+		body, err := readLimited(io.LimitReader(br, f.Length), f.Length, f.Length, memory)
+		if err == nil && int64(len(body)) < f.Length {
+			return nil, fmt.Errorf("read body: %w", io.ErrUnexpectedEOF)
 		}
-		return body, nil
+		return body, err
 	case Chunked:
-		body, err := readLimited(httputil.NewChunkedReader(br), limit)
+		body, err := readLimited(httputil.NewChunkedReader(br), limit, 0, memory)
 		if err != nil {
 			return nil, err
 		}
 		return body, discardTrailer(br)
 	default:
-		return readLimited(br, limit)
+		return readLimited(br, limit, 0, memory)
 	}
 }
 
-func readLimited(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", unexpectedEOF(err))
-	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("read body: %w", ErrTooLarge)
+// readLimited reads to the end of r. expected is the probable length. The buffer
+// grows with the data that has arrived.
+func readLimited(r io.Reader, limit, expected int64, memory Memory) ([]byte, error) {
+	body := make([]byte, 0, min(max(expected, minBufferBytes), unreservedBytes))
+	reserved := 0
+	defer func() {
+		if reserved > 0 {
+			memory.Release(reserved)
+		}
+	}()
+	for {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, fmt.Errorf("read body: %w", ErrTooLarge)
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, fmt.Errorf("read body: %w", unexpectedEOF(err))
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		grown := int(min(2*int64(cap(body)), limit+1))
+		if extra := grown - max(reserved, unreservedBytes); extra > 0 && memory != nil {
+			if !memory.Reserve(extra) {
+				return nil, fmt.Errorf("read body: %w", ErrNoMemory)
+			}
+			reserved += extra
+		}
+		body = append(make([]byte, 0, grown), body...)
 	}
-	return body, nil
 }
 
 // discardTrailer reads and drops the trailer section after the last chunk.
 func discardTrailer(br *bufio.Reader) error {
-	for {
+	for read := 0; read <= maxTrailerBytes; {
 		line, err := br.ReadSlice('\n')
 		if err != nil {
 			return fmt.Errorf("read trailer: %w", unexpectedEOF(err))
@@ -235,7 +284,9 @@
 		if string(line) == "\r\n" {
 			return nil
 		}
+		read += len(line)
 	}
+	return fmt.Errorf("read trailer: %w", ErrTooLarge)
 }
 
 // unexpectedEOF turns io.EOF into io.ErrUnexpectedEOF, so that a connection
--- a/apricotd/internal/connection/parser/parser_test.go
+++ b/apricotd/internal/connection/parser/parser_test.go
@@ -71,7 +71,7 @@
 		if err != nil {
 			return
 		}
-		body, err := ReadBody(br, r.Framing, 1<<16)
+		body, err := ReadBody(br, r.Framing, 1<<16, nil)
 		if err != nil {
 			return
 		}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -43,6 +43,7 @@
 	"apricotrudder.dev/apricotd/internal/process/picker"
 	"apricotrudder.dev/apricotd/internal/process/policer"
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
+	"apricotrudder.dev/apricotd/internal/process/reserver"
 	"apricotrudder.dev/apricotd/internal/process/retrylimiter"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
@@ -58,6 +59,12 @@
 	// defaultSlots is the concurrency limit of a backend server whose number of
 	// slots is not known yet.
 	defaultSlots = 16
+	// receiveMemoryRatio is the part of Limits.MemoryMB that messages may occupy
+	// while they are being received from the backend server and from peers. A
+	// buffer that grows needs three times its size for a moment.
+	receiveMemoryRatio = 0.1
+	// defaultMemoryMB applies to receiveMemoryRatio if Limits.MemoryMB is 0.
+	defaultMemoryMB = 1024
 	// memoryLimitRatio is the Go runtime's soft memory limit as a fraction of
 	// Limits.MemoryMB.
 	memoryLimitRatio = 0.7
@@ -111,6 +118,7 @@
 	policer       *policer.Policer
 	estimator     *estimator.Estimator
 	correlator    *correlator.Correlator
+	memory        *reserver.Reserver // for messages that are being received
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
 	notices       *noticer.Directory
@@ -172,6 +180,7 @@
 	n.metrics = metrics.NewSet()
 	n.probeRequests = make(chan struct{}, 1)
 	n.SetPool(s.Pool)
+	n.memory = &reserver.Reserver{Limit: receiveMemory(s.Limits.MemoryMB)}
 	n.syncer = &syncer.Syncer{
 		Store:    n.Store,
 		Decoder:  n.Decoder,
@@ -186,7 +195,7 @@
 		PeerState: func(a netip.Addr) (linked, unresponsive bool) { return n.linker.PeerState(a) },
 	}
 	n.fetcher = &fetcher{IsNewer: n.hasNewerState, Request: n.fetchFrame}
-	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID, Dial: n.Dial}
+	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID, Memory: n.memory, Dial: n.Dial}
 	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.localPool, List: n.syncer.List}
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
@@ -220,6 +229,7 @@
 		Beat:        n.beat,
 		Receive:     n.handleFrame,
 		Dial:        n.Dial,
+		Memory:      n.memory,
 		Log:         n.Log,
 	}
 	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving}
@@ -244,6 +254,14 @@
 	n.registerMetrics()
 }
 
+// receiveMemory returns the memory for messages that are being received, in bytes.
+func receiveMemory(memoryMB int) int {
+	if memoryMB == 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return int(receiveMemoryRatio * float64(memoryMB) * (1 << 20))
+}
+
 func (n *Node) buildProxier() {
 	s := n.Settings
 	n.proxier = &proxier.Proxier{
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -80,6 +80,14 @@
 	n.metrics.NewGauge("apricot_backend_requests_sent", func() float64 { return float64(n.invoker.SentCount()) })
 	n.metrics.NewGauge("apricot_backend_rate_limit", n.rateLimit)
 	n.metrics.NewGauge("apricot_backend_malformed_notices", func() float64 { return float64(n.noticer.Malformed()) })
+	n.metrics.NewGauge("apricot_receive_bytes_reserved", func() float64 {
+		reserved, _ := n.memory.Reserved()
+		return float64(reserved)
+	})
+	n.metrics.NewGauge("apricot_receive_memory_refusals", func() float64 {
+		_, refusals := n.memory.Reserved()
+		return float64(refusals)
+	})
 	n.metrics.NewGauge("apricot_excess_ratio", n.estimator.Excess)
 	n.metrics.NewGauge("apricot_demand_requests_per_second", n.estimator.Demand)
 	n.metrics.NewGauge("apricot_config_age_seconds", func() float64 { return n.syncer.TablesAge().Seconds() })
--- a/apricotd/mesher/requests_test.go
+++ b/apricotd/mesher/requests_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,6 +167,47 @@
 	})
 }
 
+// Guards against responses without end that exhaust the memory, are passed on as
+// complete, or are reported as not run.
+func TestEndlessResponses(t *testing.T) {
+	for name, f := range map[string]fault{"head": endlessHead, "body": endlessBody} {
+		injected := f
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, oneOrderServer, func(f *fleet) {
+				f.raiseRateLimit()
+				f.vms["b"].node.memory.Limit = 4 << 20
+				f.vms["b"].worker.setFault(injected)
+				var wg sync.WaitGroup
+				var unknown atomic.Int64
+				for i := range 20 {
+					request := f.requestText("POST", "shop.example", fmt.Sprintf("/order/%d", i), "x")
+					wg.Go(func() {
+						switch r := f.send("a", request); r.status {
+						case 502, 504:
+							unknown.Add(1)
+						case 503: // not run
+						default:
+							t.Errorf("request without a complete response: got %d %q, want 502, 503 or 504", r.status, r.body)
+						}
+					})
+				}
+				wg.Wait()
+				if got, want := len(f.runsInPool("orders")), int(unknown.Load()); got != want || got == 0 {
+					t.Errorf("runs: got %d, want %d, one for each request that may have run", got, want)
+				}
+				f.vms["b"].worker.setFault(noFault)
+				time.Sleep(2 * time.Second)
+				if reserved, _ := f.vms["b"].node.memory.Reserved(); reserved != 0 {
+					t.Errorf("memory reserved at the end: got %d bytes, want 0", reserved)
+				}
+				if r := f.send("a", f.requestText("POST", "shop.example", "/order/after", "x")); r.status != 200 {
+					t.Errorf("request after the fault: got %d %q, want 200", r.status, r.body)
+				}
+			})
+		})
+	}
+}
+
 func TestIdempotentRequestIsRetried(t *testing.T) {
 	runFleet(t, twoSearchServers, func(f *fleet) {
 		f.vms["b"].worker.setFault(droppedResponse)
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -24,6 +24,8 @@
 	truncatedResponse       // closes the connection within the response
 	droppedResponse         // runs the request and closes the connection without a response
 	unframedResponse        // sends no length; the response ends when the connection closes
+	endlessHead             // sends header fields until the connection is closed
+	endlessBody             // sends a body until the connection is closed
 	staleResponse           // sends the previous response again before the current one
 )
 
@@ -209,6 +211,10 @@
 		return false
 	case droppedResponse:
 		return false
+	case endlessHead:
+		return sendEndlessly(nc, "HTTP/1.1 200 OK\r\n"+head, strings.Repeat("Other: x\r\n", 100))
+	case endlessBody:
+		return sendEndlessly(nc, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sReceipt: %s\r\n\r\n", head, id), strings.Repeat("x", 4000))
 	case unframedResponse:
 		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%sReceipt: %s\r\n\r\n%s", head, id, content)
 		return false
@@ -236,6 +242,17 @@
 	w.statement = func() string { return text }
 }
 
+// sendEndlessly sends a text, and then another one repeatedly until the node closes
+// the connection.
+func sendEndlessly(nc net.Conn, first, repeated string) bool {
+	_, err := io.WriteString(nc, first)
+	for err == nil {
+		_, err = io.WriteString(nc, repeated)
+		time.Sleep(100 * time.Microsecond)
+	}
+	return false
+}
+
 // execute runs a request for the service time, or until the node disconnects. It
 // reports whether a downstream call failed.
 func (w *worker) execute(r *http.Request, disconnected <-chan struct{}) (failed bool) {
