Requests with bytes that are not UTF-8 no longer break the links between nodes

Callers of other services got 502: one request with a byte above 127 in its path or in a header field, which HTTP allows, could not be encoded as a frame, and that error closed the link to the peer with all exchanges on it. The request itself was tried on the next node and closed that link too. TestBytesThatAreNotUTF8 before the change: the request got 502, and the other four requests on the link ran twice.

Cause: the frames held paths, hosts, ids and field values as strings, which protobuf requires to be UTF-8, and an encoding error was treated as a failure of the connection.

The fix: these fields are bytes, which is the same on the wire; what nodes write themselves is made valid; and a request that cannot be encoded fails as not sent, alone.

--- a/apricotd/internal/connection/linker/fields.go
+++ b/apricotd/internal/connection/linker/fields.go
@@ -9,7 +9,7 @@
 func WireFields(fields parser.Fields) []*linkwire.Field {
 	out := make([]*linkwire.Field, len(fields))
 	for i, f := range fields {
-		out[i] = &linkwire.Field{Name: f.Name, Value: f.Value}
+		out[i] = &linkwire.Field{Name: f.Name, Value: []byte(f.Value)}
 	}
 	return out
 }
@@ -18,7 +18,7 @@
 func HeaderFields(fields []*linkwire.Field) parser.Fields {
 	out := make(parser.Fields, len(fields))
 	for i, f := range fields {
-		out[i] = parser.Field{Name: f.Name, Value: f.Value}
+		out[i] = parser.Field{Name: f.Name, Value: string(f.Value)}
 	}
 	return out
 }
--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -138,6 +138,10 @@
 	case result := <-p.result:
 		return result, nil
 	case err := <-p.failed:
+		var unsent *UnsentError
+		if errors.As(err, &unsent) {
+			return nil, unsent
+		}
 		return nil, p.abandon(err)
 	case <-ctx.Done():
 		err := p.abandon(ctx.Err())
@@ -156,6 +160,14 @@
 	return fmt.Errorf("wait for peer: %w", err)
 }
 
+// fail ends the exchange with err, unless it has failed already.
+func (p *pending) fail(err error) {
+	select {
+	case p.failed <- err:
+	default:
+	}
+}
+
 // addPending registers an exchange and returns its id, or false if the link is
 // closed.
 func (l *Link) addPending(p *pending) (uint64, bool) {
@@ -199,14 +211,21 @@
 }
 
 // writeFrame encodes a frame, preceded by its length, into buffer and writes it,
-// unless its exchange was abandoned. It returns the buffer for reuse.
+// unless its exchange was abandoned. A request that cannot be encoded fails only its
+// own exchange. It returns the buffer for reuse.
 func (l *Link) writeFrame(bw *bufio.Writer, buffer []byte, o outgoing) ([]byte, error) {
 	if o.pending != nil && !o.pending.sendState.CompareAndSwap(queued, written) {
 		return buffer, nil
 	}
 	buffer, err := proto.MarshalOptions{}.MarshalAppend(append(buffer[:0], make([]byte, frameLengthBytes)...), o.frame)
 	if err != nil {
-		return buffer, fmt.Errorf("encode frame: %w", err)
+		err = fmt.Errorf("encode frame: %w", err)
+		if o.pending == nil {
+			return nil, err
+		}
+		l.linker.Log.WithError(err).WithField("peer", l.Peer).Error("request to peer dropped")
+		o.pending.fail(&UnsentError{Err: err})
+		return nil, nil
 	}
 	binary.BigEndian.PutUint32(buffer, uint32(len(buffer)-frameLengthBytes))
 	if _, err := bw.Write(buffer); err != nil {
@@ -405,7 +424,7 @@
 	delete(l.linker.links, l)
 	l.linker.mu.Unlock()
 	for _, p := range waiting {
-		p.failed <- fmt.Errorf("%w: %w", ErrLost, err)
+		p.fail(fmt.Errorf("%w: %w", ErrLost, err))
 	}
 	for _, cancel := range running {
 		cancel()
--- a/apricotd/internal/connection/linker/linker_test.go
+++ b/apricotd/internal/connection/linker/linker_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"apricotrudder.dev/apricotd/internal/process/reserver"
@@ -146,3 +147,34 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against one frame that cannot be encoded failing all exchanges on its link.
+func TestUnencodableFrameFailsOnlyItsExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := &connector.Connector{}
+		a, b := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.2.0.1")
+		sender := start(ctx, t, network, a, func(*Link, *linkwire.Frame) {})
+		receiver := start(ctx, t, network, b, func(*Link, *linkwire.Frame) {})
+		receiver.Serve = func(context.Context, *linkwire.Run) *linkwire.Result {
+			time.Sleep(100 * time.Millisecond)
+			return &linkwire.Result{}
+		}
+		done := make(chan error, 1)
+		go func() {
+			_, err := sender.Exchange(ctx, b, &linkwire.Run{Pool: "p"})
+			done <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		_, err := sender.Exchange(ctx, b, &linkwire.Run{Pool: "\xff"})
+		var unsent *UnsentError
+		if !errors.As(err, &unsent) {
+			t.Errorf("exchange that cannot be encoded: got %v, want an UnsentError", err)
+		}
+		if err := <-done; err != nil {
+			t.Errorf("other exchange on the link: got %v, want no error", err)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/apricotd/internal/process/noticer/noticer.go
+++ b/apricotd/internal/process/noticer/noticer.go
@@ -107,7 +107,7 @@
 		return nil
 	}
 	return &linkwire.Notice{
-		Server:   n.server,
+		Server:   strings.ToValidUTF8(n.server, "?"),
 		Limited:  n.notice.Limited,
 		Rate:     n.notice.Rate,
 		Leaving:  n.notice.Leaving,
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -287,10 +288,10 @@
 func (i *Invoker) send(ctx context.Context, run *linkwire.Run, deadline time.Time) (result *linkwire.Result, idChanged bool) {
 	id, _, _ := i.Identifier.Identity()
 	call := &exchanger.Call{
-		ID:         run.RequestId,
+		ID:         string(run.RequestId),
 		Method:     run.Method,
-		Target:     run.Target,
-		Host:       run.Host,
+		Target:     string(run.Target),
+		Host:       string(run.Host),
 		Fields:     i.headerFields(run, id, time.Until(deadline)),
 		Body:       run.Body,
 		Idempotent: run.Idempotent,
@@ -362,7 +363,7 @@
 }
 
 func fingerprint(run *linkwire.Run) uint64 {
-	return quarantiner.Fingerprint(run.Method, run.Host, run.Target, run.Body)
+	return quarantiner.Fingerprint(run.Method, string(run.Host), string(run.Target), run.Body)
 }
 
 func classOf(run *linkwire.Run) checker.Class {
@@ -393,7 +394,7 @@
 		Reason:       reason,
 		NotRun:       true,
 		RetryAfterMs: uint32(retryAfter.Milliseconds()),
-		Detail:       detail,
+		Detail:       strings.ToValidUTF8(detail, "?"),
 	}}}
 }
 
@@ -410,7 +411,7 @@
 	return &linkwire.Result{Outcome: &linkwire.Result_Refusal{Refusal: &linkwire.Refusal{
 		Reason:  reason,
 		Arrived: true,
-		Detail:  err.Error(),
+		Detail:  strings.ToValidUTF8(err.Error(), "?"),
 	}}}
 }
 
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -120,10 +120,10 @@
 	left := time.Until(rq.deadline)
 	run := &linkwire.Run{
 		Pool:        rq.pool,
-		RequestId:   rq.id,
+		RequestId:   []byte(rq.id),
 		Method:      rq.Method,
-		Target:      rq.Target,
-		Host:        rq.Host,
+		Target:      []byte(rq.Target),
+		Host:        []byte(rq.Host),
 		Fields:      rq.fields,
 		Body:        rq.Body,
 		RemainingMs: uint32(max(1, left.Milliseconds())),
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -281,7 +281,7 @@
 // fields and those that only nodes may set.
 func (p *Proxier) forwardedFields(rq *request) []*linkwire.Field {
 	fields := linker.WireFields(rq.Fields.EndToEnd(p.Names.IsReserved))
-	return append(fields, &linkwire.Field{Name: p.Names.Caller, Value: p.LocalPool()})
+	return append(fields, &linkwire.Field{Name: p.Names.Caller, Value: []byte(p.LocalPool())})
 }
 
 // A RouteOverload is this node's estimate for one route.
--- a/apricotd/mesher/requests_test.go
+++ b/apricotd/mesher/requests_test.go
@@ -208,6 +208,35 @@
 	}
 }
 
+// Guards against one caller's bytes that are not UTF-8, which HTTP allows, failing
+// all requests on the same link.
+func TestBytesThatAreNotUTF8(t *testing.T) {
+	runFleet(t, twoSearchServers, func(f *fleet) {
+		for _, name := range []string{"b", "c"} {
+			f.vms[name].worker.serviceTime = 200 * time.Millisecond
+		}
+		var wg sync.WaitGroup
+		for range 4 {
+			request := f.getRequest("shop.example", "/search/1")
+			wg.Go(func() {
+				if r := f.send("a", request); r.status != 200 {
+					t.Errorf("other request: got %d %q, want 200", r.status, r.body)
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		r := f.send("a", f.getRequest("shop.example", "/search/caf\xe9", "Other: caf\xe9"))
+		// The worker escapes the byte in its response.
+		if want := "ran /search/caf%E9 "; r.status != 200 || r.body != want {
+			t.Errorf("request with other bytes: got %d %q, want 200 and %q", r.status, r.body, want)
+		}
+		wg.Wait()
+		if runs := f.runsInPool("search"); len(runs) != 5 {
+			t.Errorf("runs: got %d, want 5, one for each request", len(runs))
+		}
+	})
+}
+
 func TestIdempotentRequestIsRetried(t *testing.T) {
 	runFleet(t, twoSearchServers, func(f *fleet) {
 		f.vms["b"].worker.setFault(droppedResponse)
