--- a/apricotd/internal/process/admitter/admitter_test.go
+++ b/apricotd/internal/process/admitter/admitter_test.go
@@ -109,8 +109,9 @@
 			var starts []time.Time
 			var wg sync.WaitGroup
 			for range 4000 {
+				class := checker.Class(r.IntN(4))
 				wg.Go(func() {
-					release, err := a.Enter(t.Context(), Request{Class: checker.Class(r.IntN(4)), Deadline: time.Now().Add(time.Second), MaxWait: 200 * time.Millisecond})
+					release, err := a.Enter(t.Context(), Request{Class: class, Deadline: time.Now().Add(time.Second), MaxWait: 200 * time.Millisecond})
 					if err != nil {
 						return
 					}
