Confine malformed frames and internal errors to their link or request

A reply of another kind than expected took a node down: a Result in answer to a Borrow ended the process with a nil dereference in the borrower, and with it all requests on the node. So did any panic while one request was served. Numbers such as NaN or a negative rate were taken over into estimates: an excess of NaN throttles every request of its route.

A received frame is now checked once, where it is read; a malformed one closes its link, one of an unknown kind (from a newer version) is ignored, and an exchange accepts only its own kind of reply. A panic in a goroutine that serves one request or one link fails that one: the request is reported as may have run, a line with the stack is logged, and it is counted. Loops of the whole process do not recover, because the process would go on without them.

--- a/apricotd/internal/connection/acceptor/conn.go
+++ b/apricotd/internal/connection/acceptor/conn.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/apricotd/internal/process/catcher"
 )
 
 type (
@@ -142,10 +143,18 @@
 			e.response <- nil
 			return
 		}
-		e.response <- c.acceptor.Serve(ctx, r)
+		e.response <- c.serveRequest(ctx, r)
 	}()
 }
 
+// serveRequest calls the acceptor's Serve. After a panic the request may have run.
+func (c *conn) serveRequest(ctx context.Context, r *Request) (response *Response) {
+	defer catcher.Catch(c.acceptor.Log, "serve request", func() {
+		response = c.acceptor.ErrorResponse(http.StatusBadGateway, "internal")
+	})
+	return c.acceptor.Serve(ctx, r)
+}
+
 // reject sends an error response to a message that could not be read and closes
 // the connection. It sends nothing if the connection itself failed. tooLarge is
 // the status for parser.ErrTooLarge.
--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/apricotd/internal/process/catcher"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -77,6 +78,13 @@
 	}
 )
 
+// ReasonInternal is the reason of the result of a request whose handling failed
+// because of an error in the node's code. The request may have run.
+const ReasonInternal = "internal"
+
+// errInternal closes a link whose frame could not be handled.
+var errInternal = errors.New("internal error")
+
 // ErrLost is the error of exchanges that were pending when their link closed.
 var ErrLost = errors.New("link to peer was lost")
 
@@ -238,6 +246,7 @@
 }
 
 func (l *Link) read() {
+	defer catcher.Catch(l.linker.Log, "receive frame", func() { l.close(errInternal) })
 	br := bufio.NewReaderSize(l.nc, ioBufferBytes)
 	for {
 		frame, err := l.readFrame(br)
@@ -246,6 +255,10 @@
 			return
 		}
 		l.lastReceived.Store(int64(time.Since(l.start)))
+		if err := check(frame); err != nil {
+			l.close(err)
+			return
+		}
 		l.dispatch(frame)
 	}
 }
@@ -292,6 +305,7 @@
 // dispatch handles a received frame.
 func (l *Link) dispatch(frame *linkwire.Frame) {
 	switch kind := frame.Kind.(type) {
+	case nil:
 	case *linkwire.Frame_Run:
 		l.serve(frame.Exchange, kind.Run)
 	case *linkwire.Frame_Cancel:
@@ -330,7 +344,7 @@
 	l.mu.Unlock()
 	go func() {
 		defer cancel()
-		result := l.linker.Serve(ctx, run)
+		result := l.runServe(ctx, run)
 		l.mu.Lock()
 		delete(l.running, id)
 		l.mu.Unlock()
@@ -338,6 +352,18 @@
 	}()
 }
 
+// runServe calls Serve. After a panic the request may have run.
+func (l *Link) runServe(ctx context.Context, run *linkwire.Run) (result *linkwire.Result) {
+	defer catcher.Catch(l.linker.Log, "serve request of peer", func() {
+		result = &linkwire.Result{Outcome: &linkwire.Result_Refusal{Refusal: &linkwire.Refusal{
+			Reason:  ReasonInternal,
+			Arrived: true,
+			Detail:  "the node of the backend server failed",
+		}}}
+	})
+	return l.linker.Serve(ctx, run)
+}
+
 // sendResult waits for space in the send queue, so that results are not dropped
 // while the link is open.
 func (l *Link) sendResult(frame *linkwire.Frame) {
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -105,6 +105,10 @@
 	}
 )
 
+// errWrongReply is the error of an exchange to which the peer sent a reply of
+// another kind.
+var errWrongReply = errors.New("peer sent a reply of another kind")
+
 // Error returns the message with its cause.
 func (e *UnsentError) Error() string { return "request not sent to peer: " + e.Err.Error() }
 
@@ -151,6 +155,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if frame.GetResult() == nil {
+		return nil, errWrongReply
+	}
 	return frame.GetResult(), nil
 }
 
@@ -160,6 +167,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if frame.GetGrant() == nil {
+		return nil, errWrongReply
+	}
 	return frame.GetGrant(), nil
 }
 
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -209,12 +209,13 @@
 	}
 	i.Estimator.RecordAdmitted(run.Held)
 	i.recordRepeat(run.Repeat)
+	answered := false
+	defer func() { release(answered) }()
 	start := time.Now()
 	running, _ := i.Admitter.Load()
-	end := i.Correlator.Begin(run.Route)
+	defer i.Correlator.Begin(run.Route)()
 	result := i.invoke(ctx, run, deadline)
-	end()
-	answered := result.GetAnswer() != nil
+	answered = result.GetAnswer() != nil
 	if answered {
 		took := time.Since(start)
 		i.recordServiceTime(took)
@@ -224,7 +225,6 @@
 			i.Quarantine.Clear(fingerprint(run))
 		}
 	}
-	release(answered)
 	return result
 }
 
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
+	"apricotrudder.dev/apricotd/internal/process/catcher"
 	"apricotrudder.dev/apricotd/internal/process/logwriter"
 )
 
@@ -88,6 +89,7 @@
 		_, refusals := n.memory.Reserved()
 		return float64(refusals)
 	})
+	n.metrics.NewGauge("apricot_internal_errors", func() float64 { return float64(catcher.Count()) })
 	n.metrics.NewGauge("apricot_excess_ratio", n.estimator.Excess)
 	n.metrics.NewGauge("apricot_demand_requests_per_second", n.estimator.Demand)
 	n.metrics.NewGauge("apricot_config_age_seconds", func() float64 { return n.syncer.TablesAge().Seconds() })
