Serve requests whose stated time is out of range

A caller that stated about 292 years or more to wait was refused as noServer: the conversion to a duration overflowed, so its deadline had passed. A shorter but absurd time wrapped around in the frame to the next node. The stated time is now bounded by 10 minutes, which also bounds how long a response may take to arrive where a route has no timeout. TestVeryLongDeadlineIsServed failed before.

--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -49,6 +49,9 @@
 	callerMargin = 50 * time.Millisecond
 	// defaultTimeout applies to requests that state no time.
 	defaultTimeout = 10 * time.Second
+	// maxDeadline bounds the time that a caller states. Responses are read for no
+	// longer than this.
+	maxDeadline = 10 * time.Minute
 	// resultGrace is how long after the deadline to wait for the other node's
 	// result, which tells whether the request has run.
 	resultGrace = 80 * time.Millisecond
@@ -268,7 +271,7 @@
 func (p *Proxier) deadline(rq *request) time.Time {
 	left := defaultTimeout
 	if ms, err := strconv.ParseInt(rq.Fields.Get(p.Names.RemainingTime), 10, 64); err == nil && ms >= 0 {
-		stated := time.Duration(ms) * time.Millisecond
+		stated := time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
 		left = stated - min(callerMargin, stated/10)
 	}
 	if rq.route.Timeout > 0 {
--- a/apricotd/mesher/requests_test.go
+++ b/apricotd/mesher/requests_test.go
@@ -237,6 +237,19 @@
 	})
 }
 
+// Guards against requests that are refused because the time that their caller
+// states is out of range.
+func TestVeryLongDeadlineIsServed(t *testing.T) {
+	runFleet(t, twoSearchServers, func(f *fleet) {
+		for _, left := range []string{"4294967297", "9223372036854775", "9223372036854775807", "99999999999999999999"} {
+			request := strings.Replace(f.getRequest("shop.example", "/search/1"), "Left: 5000", "Left: "+left, 1)
+			if r := f.send("a", request); r.status != 200 {
+				t.Errorf("request with %s ms left: got %d %q, want 200", left, r.status, r.body)
+			}
+		}
+	})
+}
+
 func TestIdempotentRequestIsRetried(t *testing.T) {
 	runFleet(t, twoSearchServers, func(f *fleet) {
 		f.vms["b"].worker.setFault(droppedResponse)
