Drop late copies of responses where the next request has no id

Health checks, and requests without an id, accepted whatever response came next on their connection. A server that sends a second copy of an answer late, when the connection is in use again, made the copy the health check's answer, and a caller without an id would have got another caller's answer.

A connection now remembers the ids of its last answered requests, and skips responses to those.

--- a/apricotd/internal/connection/exchanger/conn.go
+++ b/apricotd/internal/connection/exchanger/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,7 +30,8 @@
 		mu          sync.Mutex
 		call        *Call
 		result      chan callResult
-		requestSent bool // the request has been written completely
+		requestSent bool     // the request has been written completely
+		answered    []string // ids of the last calls that were answered
 		closed      bool
 	}
 
@@ -107,13 +109,16 @@
 // readResponse reads the response to the call. It skips responses that carry
 // the id of another request.
 func (c *conn) readResponse(call *Call) (callResult, error) {
+	c.mu.Lock()
+	answered := c.answered
+	c.mu.Unlock()
 	for range maxMismatchedResponses {
 		response, body, receivedAt, err := c.readMessage(call.Method)
 		if err != nil {
 			return callResult{}, err
 		}
 		id := response.Fields.Get(c.idField)
-		if call.ID != "" && id != call.ID {
+		if isForOther(call, id, answered) {
 			if id == "" || !response.KeepAlive {
 				return callResult{}, errors.Errorf("got an answer with id %q, want %q", id, call.ID)
 			}
@@ -128,6 +133,15 @@
 	return callResult{}, errUnsolicited
 }
 
+// isForOther reports whether a response with an id belongs to another request than
+// call. A call without an id accepts any response but a late one to an earlier call.
+func isForOther(call *Call, id string, answered []string) bool {
+	if call.ID != "" {
+		return id != call.ID
+	}
+	return id != "" && slices.Contains(answered, id)
+}
+
 // readMessage reads one final response and returns when its head arrived. It
 // skips interim (1xx) responses.
 func (c *conn) readMessage(method string) (response *parser.Response, body []byte, receivedAt time.Time, err error) {
@@ -161,6 +175,9 @@
 	if c.br.Buffered() > 0 || !c.requestSent || c.closed {
 		got.reusable = false
 	}
+	if c.call != nil && c.call.ID != "" {
+		c.answered = append(c.answered[max(0, len(c.answered)-maxAnswered+1):], c.call.ID)
+	}
 	c.call = nil
 	c.result <- got
 	return got.reusable
--- a/apricotd/internal/connection/exchanger/exchanger.go
+++ b/apricotd/internal/connection/exchanger/exchanger.go
@@ -54,6 +54,9 @@
 	// maxMismatchedResponses is the number of responses read for one call, all
 	// with the id of another request, after which the connection is closed.
 	maxMismatchedResponses = 8
+	// maxAnswered is the number of answered calls of which a connection keeps the
+	// ids, to detect late copies of their responses.
+	maxAnswered = 4
 	// maxInterimResponses is the number of interim (1xx) responses before a final
 	// one, after which the connection is closed.
 	maxInterimResponses = 32
@@ -62,7 +65,7 @@
 type (
 	// A Call is one request to the backend server.
 	Call struct {
-		ID     string // echoed in the response; not checked if empty
+		ID     string // echoed in the response; if empty, the response may have any id that is not of an earlier call
 		Method string
 		Target string
 		Host   string
