Wait for a silent node if its request must not be repeated

Callers got 502 for a grant that was running, or had run, because the node of its backend server was silent for 1.5 s: the link was reset, and with it the answer that arrived a second later.

Cause: the same rule for all exchanges on a link. For a request that may be repeated, another server is the better answer; for one that must not be, nothing can be gained by giving up before its deadline.

A silent link with such exchanges is now retired: new exchanges open another link, those that may be repeated fail as before and are cancelled at the peer, and the others wait for their replies until their deadlines, or until the connection fails.

--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -61,6 +61,7 @@
 		waiting         map[uint64]*pending
 		running         map[uint64]context.CancelFunc
 		beatRequestedAt time.Time // when a heartbeat was last requested
+		retired         bool      // carries only replies to exchanges that must not be repeated
 		closed          bool
 	}
 
@@ -68,6 +69,7 @@
 	pending struct {
 		sendState atomic.Int32 // of the frame that begins the exchange
 		since     time.Time    // when the exchange began
+		patient   bool         // wait for a silent peer, because the request must not be repeated
 		result    chan *linkwire.Frame
 		failed    chan error
 	}
@@ -132,7 +134,8 @@
 // exchange sends a frame and waits for the reply. If ctx is done first, it sends
 // a Cancel frame.
 func (l *Link) exchange(ctx context.Context, frame *linkwire.Frame) (*linkwire.Frame, error) {
-	p := &pending{since: time.Now(), result: make(chan *linkwire.Frame, 1), failed: make(chan error, 1)}
+	run := frame.GetRun()
+	p := &pending{since: time.Now(), patient: run != nil && !run.Idempotent, result: make(chan *linkwire.Frame, 1), failed: make(chan error, 1)}
 	id, ok := l.addPending(p)
 	if !ok {
 		return nil, &UnsentError{Err: ErrLost}
@@ -181,7 +184,7 @@
 func (l *Link) addPending(p *pending) (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed {
+	if l.closed || l.retired {
 		return 0, false
 	}
 	l.nextID++
@@ -399,11 +402,31 @@
 	return now.Sub(since)
 }
 
-// checkSilence requests a heartbeat from a silent peer, and closes the link if the
-// silence exceeds silenceTimeout.
+// checkSilence requests a heartbeat from a silent peer. If the silence exceeds
+// silenceTimeout, it retires the link, and closes it if nothing is left to wait for.
 func (l *Link) checkSilence(now time.Time) {
 	l.mu.Lock()
 	silence := l.silenceLocked(now)
+	if silence > silenceTimeout && !l.retired && l.hasPatient() {
+		impatient := l.retire()
+		l.mu.Unlock()
+		l.linker.peer(l.Peer).linkRetired(l)
+		err := fmt.Errorf("no frame received for %v: %w", silence.Round(time.Millisecond), errUnresponsive)
+		for id, p := range impatient {
+			p.fail(fmt.Errorf("%w: %w", ErrLost, err))
+			l.enqueue(outgoing{frame: &linkwire.Frame{Exchange: id, Kind: &linkwire.Frame_Cancel{Cancel: &linkwire.Cancel{}}}})
+		}
+		l.linker.Log.WithField("peer", l.Peer).WithField("failed", len(impatient)).WithError(err).Info("link retired")
+		return
+	}
+	if l.retired {
+		isDone := len(l.waiting) == 0
+		l.mu.Unlock()
+		if isDone {
+			l.close(errUnresponsive)
+		}
+		return
+	}
 	requestBeat := silence > beatRequestAfter && now.Sub(l.beatRequestedAt) > beatRequestAfter
 	if requestBeat {
 		l.beatRequestedAt = now
@@ -424,6 +447,39 @@
 	}
 }
 
+// hasPatient reports whether an exchange waits whose request has been written and
+// must not be repeated. l.mu must be held.
+func (l *Link) hasPatient() bool {
+	for _, p := range l.waiting {
+		if p.patient && p.sendState.Load() == written {
+			return true
+		}
+	}
+	return false
+}
+
+// retire makes the link accept no further exchanges and returns those that need not
+// wait for the peer. The others wait for their replies until their deadlines, since
+// their requests may be running. l.mu must be held.
+func (l *Link) retire() map[uint64]*pending {
+	l.retired = true
+	impatient := make(map[uint64]*pending)
+	for id, p := range l.waiting {
+		if !p.patient || p.sendState.Load() != written {
+			impatient[id] = p
+			delete(l.waiting, id)
+		}
+	}
+	return impatient
+}
+
+// isRetired reports whether the link accepts no further exchanges.
+func (l *Link) isRetired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.retired
+}
+
 // IsClosed reports whether the link has closed.
 func (l *Link) IsClosed() bool {
 	l.mu.Lock()
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -5,7 +5,9 @@
 // that after an UnsentError the peer has not received the request, and that no
 // peer can block another: each link has its own queue and goroutines. A link
 // whose peer does not answer a requested heartbeat is closed, so that pending
-// exchanges on it fail.
+// exchanges on it fail. Exchanges whose request may be running and must not be
+// repeated are the exception: they wait for the peer until their deadline or the
+// connection fails.
 //
 // # Usage
 //
@@ -241,7 +243,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for link := range l.links {
-		if link.Peer == address {
+		if link.Peer == address && !link.isRetired() {
 			return true, false
 		}
 	}
@@ -289,7 +291,9 @@
 	defer l.mu.Unlock()
 	out := make(map[netip.Addr]*Link, len(l.links))
 	for link := range l.links {
-		out[link.Peer] = link
+		if !link.isRetired() {
+			out[link.Peer] = link
+		}
 	}
 	return out
 }
@@ -364,6 +368,18 @@
 	}
 }
 
+// linkRetired records that the peer does not respond on a link, so that new
+// exchanges open another one.
+func (p *peer) linkRetired(link *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unresponsive = true
+	if p.link == link {
+		p.link = nil
+		p.err = errUnresponsive
+	}
+}
+
 // linkClosed records that a link closed with err, whichever side opened it.
 func (p *peer) linkClosed(link *Link, err error) {
 	p.mu.Lock()
