Answer the requests that a stopping node has accepted before it closes

Callers that go on using a node until it is gone lost requests at the end of a planned stop: the node closed all connections at once, also those on which it had just read a request and was about to refuse it.

The acceptor now closes its listener first, then each connection as soon as no request waits on it, and the remaining ones after 300 ms. A request is counted in the same critical section in which a connection is found idle, so that none is accepted on a connection that is being closed.

--- a/apricotd/internal/connection/acceptor/acceptor.go
+++ b/apricotd/internal/connection/acceptor/acceptor.go
@@ -40,6 +40,9 @@
 	// last response: closing with unread input would send a reset, which can
 	// make the client lose that response.
 	lingerTimeout = 500 * time.Millisecond
+	// closePollInterval is how often Close looks for connections that have become
+	// idle.
+	closePollInterval = 5 * time.Millisecond
 	// pipelineDepth is the number of queued requests per connection above
 	// which reading pauses.
 	pipelineDepth = 64
@@ -76,19 +79,24 @@
 		Log           logrus.FieldLogger
 
 		draining atomic.Bool
+		closed   atomic.Bool
 		active   atomic.Int64
 		mu       sync.Mutex
 		conns    map[*conn]struct{}
+		listener net.Listener
 	}
 )
 
 // Run accepts connections until the context is cancelled or the listener fails.
 func (a *Acceptor) Run(ctx context.Context, listener net.Listener) error {
 	defer context.AfterFunc(ctx, func() { _ = listener.Close() })()
+	a.mu.Lock()
+	a.listener = listener
+	a.mu.Unlock()
 	for {
 		nc, err := listener.Accept()
 		if err != nil {
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || a.closed.Load() {
 				return nil
 			}
 			if isTransient(err) {
@@ -119,8 +127,20 @@
 	return int(a.active.Load())
 }
 
-// Close closes all connections immediately.
-func (a *Acceptor) Close() {
+// Close accepts no further connections and requests, closes connections as soon as
+// the requests that have been read on them are answered, and closes the remaining
+// ones after the timeout.
+func (a *Acceptor) Close(timeout time.Duration) {
+	a.Drain()
+	a.closed.Store(true)
+	a.mu.Lock()
+	if a.listener != nil {
+		_ = a.listener.Close()
+	}
+	a.mu.Unlock()
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline) && a.closeIdle() > 0; {
+		time.Sleep(closePollInterval)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
@@ -128,6 +148,20 @@
 	}
 }
 
+// closeIdle closes the connections on which no request waits for its response. It
+// returns the number of the others.
+func (a *Acceptor) closeIdle() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	busy := 0
+	for c := range a.conns {
+		if !c.closeIfIdle() {
+			busy++
+		}
+	}
+	return busy
+}
+
 func (a *Acceptor) add(c *conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/apricotd/internal/connection/acceptor/conn.go
+++ b/apricotd/internal/connection/acceptor/conn.go
@@ -31,7 +31,7 @@
 		readDeadline time.Time     // for the message being read; zero if there is none
 		idleSince    time.Time     // when the last response was written
 		idleTimeout  time.Duration // in force when the last response was written
-		closing      bool          // a response with Connection: close was written
+		closing      bool          // no further request is accepted
 	}
 
 	// An exchange is one request and its response.
@@ -94,13 +94,38 @@
 		return c.reject(err, http.StatusRequestEntityTooLarge)
 	}
 	c.setReadDeadline(time.Time{})
-	if c.isClosing() {
+	if !c.begin() {
 		return false
 	}
 	c.startRequest(ctx, &Request{Request: request, Body: body, Received: time.Now()})
 	return request.KeepAlive || c.discardUntilClose()
 }
 
+// begin counts a request that has been read. It returns false if the connection is
+// being closed and no response will be written.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.pending++
+	return true
+}
+
+// closeIfIdle closes the connection unless a request waits for its response or the
+// client may still have to read the last one.
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 {
+		return false
+	}
+	c.closing = true
+	_ = c.nc.Close()
+	return true
+}
+
 // discardUntilClose reads and drops input after the last request, so that the
 // request is cancelled when the client closes the connection.
 func (c *conn) discardUntilClose() bool {
@@ -127,9 +152,6 @@
 	e := &exchange{request: r, response: make(chan *Response, 1), written: make(chan struct{})}
 	previous := c.last
 	c.last = e
-	c.mu.Lock()
-	c.pending++
-	c.mu.Unlock()
 	c.acceptor.active.Add(1)
 	c.pipeline <- e
 	go func() {
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -71,6 +71,9 @@
 	// stopMargin is the part of Limits.StopWithin that is reserved for closing
 	// connections after the drain.
 	stopMargin = 700 * time.Millisecond
+	// closeTimeout bounds the time to answer the requests that have been read when
+	// the drain ends. It is part of stopMargin.
+	closeTimeout = 300 * time.Millisecond
 	// callerDrainTime is how long callers may take to fail over from a stopping
 	// node: two failed health checks one second apart, plus the time of one check.
 	callerDrainTime = 3 * time.Second
@@ -160,7 +163,7 @@
 		n.drain()
 	case err = <-failures:
 	}
-	n.acceptor.Close()
+	n.acceptor.Close(closeTimeout)
 	stop()
 	n.exchanger.Close()
 	wg.Wait()
