Do not vouch for a server that states that it is leaving

A node tells its peers that its server is healthy while the store lists it no more and cannot be reached. It did so also for a server whose answers say that it leaves, if its health check still passed. Found by reading; there is no run that showed it.

--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -187,7 +187,7 @@
 
 func (n *Node) isHealthy(ctx context.Context, id string) bool {
 	response, err := n.requestHealth(ctx)
-	return err == nil && response.Status == http.StatusOK && response.Fields.Get(n.Names.Server) == id
+	return err == nil && response.Status == http.StatusOK && response.Fields.Get(n.Names.Server) == id && !n.noticer.Notice(id).Leaving
 }
 
 // awaitStore closes the channel when the store answers this node. If vouching ends
