--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -215,7 +215,7 @@
 		return nil, nil
 	}
 	w := &waiter{Request: r, arrivedAt: now, result: make(chan error, 1)}
-	if wait := a.pacer.untilToken(now, 1+a.countPreceding(w, now)); wait > a.maxWait(r) {
+	if a.pacer.limited && a.pacer.untilToken(now, 1+a.countPreceding(w, now)) > a.maxWait(r) {
 		return nil, &ShedError{Cause: QueueFull, RetryAfter: a.retryAfter()}
 	}
 	if err := a.enqueue(w, now); err != nil {
