--- a/apricotd/internal/process/noticer/noticer.go
+++ b/apricotd/internal/process/noticer/noticer.go
@@ -214,8 +214,9 @@
 }
 
 func (n *Noticer) observeLeaving(fields parser.Fields, sentAt, receivedAt time.Time) {
+	value := fields.Get(n.Names.Leaving)
 	switch {
-	case n.Names.Leaving != "" && fields.Get(n.Names.Leaving) != "":
+	case value != "" && value != "0":
 		n.notice.Leaving = true
 		n.leavingAt = later(n.leavingAt, receivedAt)
 	case sentAt.After(n.leavingAt):
