leaser: stop without a panic while other members are being asked

A planned stop of apricotd could end with a panic instead of the last steps of the stop: 'sync: WaitGroup is reused before previous Wait has returned'.

Cause: Stop waits for the leaser's tasks, but the periodic learning of promises is not one of them and adds tasks of its own for each broadcast. If the count had just fallen to zero, the wait group was used again while Stop was returning. The start of a learning task had the same gap between its check and its start.

The periodic learning now counts as a task itself, and a task begins only under the lock under which Stop cancels the context.

--- a/apricotd/internal/process/leaser/leaser.go
+++ b/apricotd/internal/process/leaser/leaser.go
@@ -177,10 +177,22 @@
 // Stop releases all shards and notifies their members, so that other nodes can
 // take over immediately.
 func (l *Leaser) Stop() {
+	l.mu.Lock()
 	l.stop()
+	l.mu.Unlock()
 	l.tasks.Wait()
 }
 
+// beginTask counts a task that Stop must wait for. It returns false if Stop has been
+// called. l.mu must be held, so that no task begins while Stop waits.
+func (l *Leaser) beginTask() bool {
+	if l.ctx.Err() != nil {
+		return false
+	}
+	l.tasks.Add(1)
+	return true
+}
+
 // TryAcquire returns the current term of a shard, or nil if this node does not
 // own it. In that case it starts to acquire the shard in the background, if this
 // node is a member of the group and has granted no other node a lease that is
--- a/apricotd/internal/process/leaser/leaser_test.go
+++ b/apricotd/internal/process/leaser/leaser_test.go
@@ -319,3 +319,37 @@
 		t.Errorf("40 s after the last fault: got owners %v, want one\n%s", owners, strings.Join(s.events, "\n"))
 	}
 }
+
+// Guards against a planned stop that ends the process with a panic: the node asked
+// other members while Stop waited for the tasks.
+func TestStopWhileLearning(t *testing.T) {
+	for range 2000 {
+		l := &Leaser{
+			Self:    "a",
+			Process: "a/1",
+			Group: func(sharder.Shard) (sharder.Group, bool) {
+				return sharder.Group{Version: 1, Members: []string{"a", "b", "c"}}, true
+			},
+			IsListed: func(string) bool { return true },
+			StaleFor: func() time.Duration { return 0 },
+			Peer:     func(string) peerwireconnect.PeerServiceClient { return failingPeer{} },
+			Audit:    &auditor.Auditor{},
+		}
+		l.Start()
+		var wg sync.WaitGroup
+		wg.Go(l.learnAllOnce)
+		time.Sleep(rand.N(300 * time.Microsecond))
+		l.Stop()
+		wg.Wait()
+	}
+}
+
+// A failingPeer fails each request after a short time.
+type failingPeer struct {
+	peerwireconnect.PeerServiceClient
+}
+
+func (failingPeer) Witness(context.Context, *connect.Request[peerwire.WitnessRequest]) (*connect.Response[peerwire.WitnessResponse], error) {
+	time.Sleep(rand.N(30 * time.Microsecond))
+	return nil, errors.New("peer failed")
+}
--- a/apricotd/internal/process/leaser/witness.go
+++ b/apricotd/internal/process/leaser/witness.go
@@ -120,9 +120,13 @@
 	s := l.shard(id)
 	shouldStart := s.learning && !s.learnTaskRunning && l.ctx.Err() == nil
 	s.learnTaskRunning = s.learnTaskRunning || shouldStart
+	shouldStart = shouldStart && l.beginTask()
 	l.mu.Unlock()
 	if shouldStart {
-		l.tasks.Go(func() { l.learn(s) })
+		go func() {
+			defer l.tasks.Done()
+			l.learn(s)
+		}()
 	}
 }
 
@@ -143,6 +147,13 @@
 }
 
 func (l *Leaser) learnAllOnce() {
+	l.mu.Lock()
+	begun := l.beginTask()
+	l.mu.Unlock()
+	if !begun {
+		return
+	}
+	defer l.tasks.Done()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	slots := make(chan struct{}, learnConcurrency)
