--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -103,6 +103,7 @@
 		tables, _ := n.syncer.Versions()
 		return float64(tables)
 	})
+	n.metrics.NewGauge("apricot_store_era", func() float64 { return float64(n.syncer.Era()) })
 	n.metrics.NewGauge("apricot_servers_revision", func() float64 {
 		_, servers := n.syncer.Versions()
 		return float64(servers)
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -1,6 +1,7 @@
 package syncer
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"time"
@@ -47,6 +48,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if snapshot.Full && snapshot.Revision < s.revision {
+		s.Log.WithField("source", source).WithField("era", snapshot.Era).WithField("revision", snapshot.Revision).
+			WithField("heldRevision", s.revision).Warn("full server list ignored; its revision is lower than the one in use")
+	}
 	if snapshot.Revision < s.revision || !snapshot.Full && len(snapshot.Servers) == 0 {
 		s.revision = max(s.revision, snapshot.Revision)
 		return false
@@ -151,6 +156,10 @@
 	}
 	old := s.entries[item.Key]
 	if old != nil && old.item.Revision >= item.Revision && (old.removedAt.IsZero() || old.removedRevision > item.Revision) {
+		if !bytes.Equal(old.item.Value, item.Value) {
+			s.Log.WithField("key", item.Key).WithField("revision", item.Revision).WithField("heldRevision", old.item.Revision).
+				Info("entry ignored; its revision is not higher than the one in use")
+		}
 		return
 	}
 	server, err := s.Decoder.Server(item)
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -55,6 +55,8 @@
 	// sourceStore is the source logged for state from the store. For state from
 	// a peer it is the peer's address.
 	sourceStore = "store"
+	// NoEra is the era of a snapshot whose source does not state one.
+	NoEra = -1
 )
 
 // ErrHistoryGone is returned by Store.Watch if the store no longer has the
@@ -77,8 +79,12 @@
 	// A Snapshot is the full published state at a revision, or the changes up to
 	// that revision.
 	Snapshot struct {
-		Tables   []byte // empty if there are none or they have not changed
-		Servers  []Item // in the order of the changes
+		Tables  []byte // empty if there are none or they have not changed
+		Servers []Item // in the order of the changes
+		// Era identifies the history of the store in which Revision counts. It rises
+		// when the store is restored from a copy, after which revisions that were
+		// given out before are given out again.
+		Era      int64
 		Revision uint64 // 0 if the snapshot does not cover servers
 		Full     bool   // Servers is the full list
 	}
@@ -115,6 +121,7 @@
 		mu                    sync.Mutex
 		entries               map[string]*entry
 		revision              uint64
+		era                   int64     // last era that the store has stated
 		tablesActivatedAt     time.Time // when the active tables were activated
 		removalsRetainedAfter uint64    // all removals after this revision are retained
 		lastAnswer            time.Time // when the store last answered
@@ -163,6 +170,25 @@
 	return time.Since(s.tablesActivatedAt)
 }
 
+// Era returns the last era that the store has stated.
+func (s *Syncer) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// recordEra logs a change of the store's era.
+func (s *Syncer) recordEra(snapshot *Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if snapshot.Era == NoEra || snapshot.Era == s.era {
+		return
+	}
+	s.Log.WithField("era", snapshot.Era).WithField("previousEra", s.era).WithField("revision", snapshot.Revision).
+		WithField("heldRevision", s.revision).WithField("whole", snapshot.Full).Info("store states another era")
+	s.era = snapshot.Era
+}
+
 // StoreOutage returns the time since the first failed call of the current
 // outage. It is zero if the store answers or has not been called.
 func (s *Syncer) StoreOutage() time.Duration {
@@ -216,6 +242,7 @@
 	if err != nil {
 		return err
 	}
+	s.recordEra(changes)
 	s.Apply(changes, sourceStore)
 	return nil
 }
@@ -241,6 +268,7 @@
 		return fmt.Errorf("read store: %w", err)
 	}
 	s.recordSuccess()
+	s.recordEra(snapshot)
 	s.Apply(snapshot, sourceStore)
 	return nil
 }
