--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -26,6 +25,7 @@
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
 	"apricotrudder.dev/standin/connector"
+	"apricotrudder.dev/standin/registrar"
 )
 
 const (
@@ -35,6 +35,10 @@
 	operatorsPort = 4
 	serverPort    = 5
 
+	// tablesKey is the key of the tables in fakeStore; an entry's key is the id of
+	// its server.
+	tablesKey = "tables"
+
 	goldKey  = "gold-key"
 	goldRate = 50
 )
@@ -77,6 +81,9 @@
 		done      chan struct{}
 		log       *bytes.Buffer
 		killed    atomic.Bool
+		state     lister.State // of the backend server, as it last stated
+		startedAt time.Time    // of the backend server
+		sequence  uint64       // of the backend server's last statement
 	}
 
 	placement struct{ region, dataCentre, pool string }
@@ -90,17 +97,9 @@
 		err        error
 	}
 
-	// fakeStore is an in-memory store whose state is set by the test.
-	fakeStore struct {
-		mu            sync.Mutex
-		tables        *resolver.Tables
-		servers       map[string]syncer.Item
-		removed       map[string]uint64
-		revision      uint64
-		changed       chan struct{}
-		unavailableTo map[netip.Addr]bool // VMs whose calls fail
-		calls         int
-	}
+	// fakeStore is a store that holds tables and entries in the format of
+	// fakeDecoder.
+	fakeStore struct{ registrar.Store }
 
 	// storeView is one VM's client of the store.
 	storeView struct {
@@ -113,8 +112,10 @@
 
 	// serverEntry is the JSON format of a backend server's entry in fakeStore.
 	serverEntry struct {
-		Server lister.Server
-		Cold   time.Duration
+		Server    lister.Server
+		Cold      time.Duration
+		StartedAt time.Time // of the server
+		Sequence  uint64    // of the server's statements since its start
 	}
 )
 
@@ -126,7 +127,7 @@
 		f := &fleet{
 			t:       t,
 			network: &connector.Connector{Latency: latency},
-			store:   newFakeStore(),
+			store:   &fakeStore{},
 			vms:     make(map[string]*vm),
 		}
 		f.store.publishTables(baseTables(1))
@@ -183,7 +184,7 @@
 	if strings.HasSuffix(p.dataCentre, "2") {
 		dataCentre = 2
 	}
-	m := &vm{name: name, placement: p, address: netip.AddrFrom4([4]byte{10, region, dataCentre, byte(f.nextID.Add(1))})}
+	m := &vm{name: name, placement: p, startedAt: time.Now(), address: netip.AddrFrom4([4]byte{10, region, dataCentre, byte(f.nextID.Add(1))})}
 	f.vms[name] = m
 	m.worker = &worker{id: "i-" + name, pool: p.pool, slots: 4, serviceTime: 20 * time.Millisecond}
 	m.worker.start(f.t, f.network, netip.AddrPortFrom(m.address, serverPort))
@@ -193,7 +194,9 @@
 // publishServer writes the entry of a VM's backend server to the store.
 func (f *fleet) publishServer(name string, state lister.State) {
 	m := f.vms[name]
-	f.store.put(m.worker.id, serverEntry{Server: lister.Server{
+	m.state = state
+	m.sequence++
+	f.store.put(m.worker.id, serverEntry{StartedAt: m.startedAt, Sequence: m.sequence, Server: lister.Server{
 		ID:         m.worker.id,
 		Pool:       m.placement.pool,
 		DataCentre: m.placement.dataCentre,
@@ -251,7 +254,6 @@
 	for _, m := range f.vms {
 		f.network.Kill(m.address)
 	}
-	f.store.close()
 	// Virtual time stops when the test returns, so let goroutines that wait for a
 	// deadline of a few seconds reach it first.
 	time.Sleep(time.Minute)
@@ -342,32 +344,13 @@
 	return b.String()
 }
 
-func newFakeStore() *fakeStore {
-	return &fakeStore{
-		servers:       make(map[string]syncer.Item),
-		removed:       make(map[string]uint64),
-		changed:       make(chan struct{}),
-		unavailableTo: make(map[netip.Addr]bool),
-	}
-}
-
-// update calls f with the store locked and a new revision, and wakes all watches.
-func (s *fakeStore) update(f func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	f()
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 func (s *fakeStore) publishTables(t *resolver.Tables) {
 	raw, err := json.Marshal(t)
 	if err != nil {
 		panic(err)
 	}
 	t.Raw = raw
-	s.update(func() { s.tables = t })
+	s.Put(tablesKey, raw)
 }
 
 func (s *fakeStore) put(id string, doc serverEntry) {
@@ -375,87 +358,40 @@
 	if err != nil {
 		panic(err)
 	}
-	s.update(func() {
-		delete(s.removed, id)
-		s.servers[id] = syncer.Item{Key: id, Value: value, Revision: s.revision}
-	})
-}
-
-func (s *fakeStore) remove(id string) {
-	s.update(func() {
-		delete(s.servers, id)
-		s.removed[id] = s.revision
-	})
+	s.Put(id, value)
 }
 
-// setUnavailable sets whether the store rejects the calls of a VM.
-func (s *fakeStore) setUnavailable(a netip.Addr, unavailable bool) {
-	s.update(func() { s.unavailableTo[a] = unavailable })
-}
-
-func (s *fakeStore) callCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
-func (s *fakeStore) close() { s.update(func() {}) }
-
 // Read implements syncer.Store.
 func (v *storeView) Read(context.Context) (*syncer.Snapshot, error) {
-	s := v.store
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.unavailableTo[v.client] {
-		return nil, errors.New("store is down")
-	}
-	out := &syncer.Snapshot{Tables: s.tables.Raw, Revision: s.revision, Full: true}
-	for _, item := range s.servers {
-		out.Servers = append(out.Servers, item)
+	answer, err := v.store.Read(v.client)
+	if err != nil {
+		return nil, err
 	}
+	out := snapshotOf(answer)
+	out.Full = true
 	return out, nil
 }
 
 // Watch implements syncer.Store.
 func (v *storeView) Watch(ctx context.Context, after uint64, wait time.Duration) (*syncer.Snapshot, error) {
-	s := v.store
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		s.calls++
-		if s.unavailableTo[v.client] {
-			s.mu.Unlock()
-			return nil, errors.New("store is down")
-		}
-		wake := s.changed
-		if s.revision > after {
-			defer s.mu.Unlock()
-			return s.changesSince(after), nil
-		}
-		s.mu.Unlock()
-		select {
-		case <-wake:
-		case <-timer.C:
-			return &syncer.Snapshot{Revision: after}, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
+	answer, err := v.store.Watch(ctx, v.client, after, wait)
+	if errors.Is(err, registrar.ErrGone) {
+		return nil, syncer.ErrHistoryGone
+	}
+	if err != nil {
+		return nil, err
 	}
+	return snapshotOf(answer), nil
 }
 
-func (s *fakeStore) changesSince(after uint64) *syncer.Snapshot {
-	out := &syncer.Snapshot{Tables: s.tables.Raw, Revision: s.revision}
-	for _, item := range s.servers {
-		if item.Revision > after {
-			out.Servers = append(out.Servers, item)
-		}
-	}
-	for id, at := range s.removed {
-		if at > after {
-			out.Servers = append(out.Servers, syncer.Item{Key: id, Revision: at, Removed: true})
+func snapshotOf(answer *registrar.Answer) *syncer.Snapshot {
+	out := &syncer.Snapshot{Era: answer.Era, Revision: answer.Revision}
+	for _, item := range answer.Items {
+		if item.Key == tablesKey {
+			out.Tables = item.Value
+			continue
 		}
+		out.Servers = append(out.Servers, syncer.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Deleted})
 	}
 	return out
 }
--- a/apricotd/mesher/state_test.go
+++ b/apricotd/mesher/state_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"apricotrudder.dev/apricotd/version/lister"
-	"apricotrudder.dev/apricotd/version/resolver"
 )
 
 // eightVMs are four VMs in each of two regions: two that read the store and two
@@ -49,11 +48,10 @@
 		if got := len(f.readers()); got != 2*readersPerRegion {
 			t.Errorf("readers: got %d, want %d", got, 2*readersPerRegion)
 		}
-		before := f.store.callCount()
+		before := f.store.Calls()
 		time.Sleep(20 * time.Second)
-		// Each reader of the 2 regions makes 20 watch calls of 1 s. The bound allows
-		// 25, each counted twice, because fakeStore counts a watch again when it wakes.
-		if got, want := f.store.callCount()-before, 2*2*readersPerRegion*25; got > want {
+		// Each reader of the 2 regions makes 20 watch calls of 1 s.
+		if got, want := f.store.Calls()-before, 2*readersPerRegion*25; got > want {
 			t.Errorf("store calls in 20 s without changes: got %d, want at most %d", got, want)
 		}
 		f.store.publishTables(baseTables(2))
@@ -68,7 +66,7 @@
 	runFleet(t, eightVMs, func(f *fleet) {
 		for name, m := range f.vms {
 			if m.placement.region == "north" || name == "e" {
-				f.store.setUnavailable(m.address, true)
+				f.store.SetRejected(m.address, true)
 			}
 		}
 		f.store.publishTables(baseTables(2))
@@ -108,7 +106,7 @@
 
 func TestInvalidTablesAreIgnored(t *testing.T) {
 	runFleet(t, twoSearchServers, func(f *fleet) {
-		f.store.update(func() { f.store.tables = &resolver.Tables{Raw: []byte(`{"Version": 5, "Routes": [`)} })
+		f.store.Put(tablesKey, []byte(`{"Version": 5, "Routes": [`))
 		time.Sleep(2 * time.Second)
 		f.checkVersion(1)
 		if r := f.send("a", f.getRequest("shop.example", "/search/x")); r.status != 200 {
@@ -121,9 +119,9 @@
 // server is healthy and reachable, so it must stay in use.
 func TestServerOfVMWithoutStoreStaysInUse(t *testing.T) {
 	runFleet(t, oneOrderServer, func(f *fleet) {
-		f.store.setUnavailable(f.vms["b"].address, true)
+		f.store.SetRejected(f.vms["b"].address, true)
 		time.Sleep(3 * time.Second)
-		f.store.remove("i-b")
+		f.store.Delete("i-b")
 		time.Sleep(time.Second)
 		for range 10 {
 			if r := f.send("a", f.requestText("POST", "shop.example", "/order/1", "x")); r.status != 200 {
@@ -142,11 +140,11 @@
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, oneOrderServer, func(f *fleet) {
 				if storeUnavailable {
-					f.store.setUnavailable(f.vms["a"].address, true)
+					f.store.SetRejected(f.vms["a"].address, true)
 					time.Sleep(3 * time.Second)
 				}
-				f.store.remove("i-b")
-				f.store.setUnavailable(f.vms["a"].address, false)
+				f.store.Delete("i-b")
+				f.store.SetRejected(f.vms["a"].address, false)
 				time.Sleep(1900 * time.Millisecond)
 				before := len(f.vms["b"].worker.runs())
 				f.store.publishTables(baseTables(2))
@@ -168,11 +166,11 @@
 // the store answers it and confirms that the entry was removed.
 func TestVouchIsWithdrawn(t *testing.T) {
 	runFleet(t, oneOrderServer, func(f *fleet) {
-		f.store.setUnavailable(f.vms["b"].address, true)
+		f.store.SetRejected(f.vms["b"].address, true)
 		time.Sleep(3 * time.Second)
-		f.store.remove("i-b")
+		f.store.Delete("i-b")
 		time.Sleep(2 * time.Second)
-		f.store.setUnavailable(f.vms["b"].address, false)
+		f.store.SetRejected(f.vms["b"].address, false)
 		time.Sleep(900 * time.Millisecond)
 		if r := f.send("a", f.requestText("POST", "shop.example", "/order/1", "x")); r.status != 503 {
 			t.Errorf("send request: got %d, want 503", r.status)
@@ -185,12 +183,12 @@
 func TestEntriesThatExpireDuringOutage(t *testing.T) {
 	runFleet(t, oneOrderServer, func(f *fleet) {
 		for _, m := range f.vms {
-			f.store.setUnavailable(m.address, true)
+			f.store.SetRejected(m.address, true)
 		}
 		time.Sleep(5 * time.Second)
-		f.store.remove("i-b")
+		f.store.Delete("i-b")
 		for _, m := range f.vms {
-			f.store.setUnavailable(m.address, false)
+			f.store.SetRejected(m.address, false)
 		}
 		for range 8 {
 			if r := f.send("a", f.requestText("POST", "shop.example", "/order/1", "x")); r.status != 200 {
