--- a/apricotd/mesher/experiments_test.go
+++ b/apricotd/mesher/experiments_test.go
@@ -162,7 +162,7 @@
 	var mu sync.Mutex
 	var wasted, repeats float64
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, network: &connector.Connector{Latency: latency}, store: &fakeStore{}, vms: make(map[string]*vm)}
+		f := &fleet{t: t, network: &connector.Connector{Latency: latency}, store: newFakeStore(), vms: make(map[string]*vm)}
 		f.store.publishTables(e.tables())
 		for name, p := range experimentVMs {
 			f.addVM(name, p)
--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -127,7 +127,7 @@
 		f := &fleet{
 			t:       t,
 			network: &connector.Connector{Latency: latency},
-			store:   &fakeStore{},
+			store:   newFakeStore(),
 			vms:     make(map[string]*vm),
 		}
 		f.store.publishTables(baseTables(1))
@@ -344,6 +344,10 @@
 	return b.String()
 }
 
+func newFakeStore() *fakeStore {
+	return &fakeStore{Store: registrar.Store{Latency: 4 * time.Millisecond}}
+}
+
 func (s *fakeStore) publishTables(t *resolver.Tables) {
 	raw, err := json.Marshal(t)
 	if err != nil {
--- /dev/null
+++ b/apricotd/mesher/restore_test.go
@@ -0,0 +1,481 @@
+package mesher
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/apricotd/version/resolver"
+)
+
+const (
+	// inForceWithin is the time in which a change must be in force on all nodes.
+	inForceWithin = 2 * time.Second
+	// storeSettleTime is the time after an outage of the store from which on
+	// inForceWithin applies.
+	storeSettleTime = 3 * time.Second
+	// rewriteTime is the time in which the operator and the servers write again what
+	// a restored store has lost.
+	rewriteTime = 2 * time.Second
+	// entryLifetime is the time after which the store removes the entry of a server
+	// that does not renew it.
+	entryLifetime = 4500 * time.Millisecond
+)
+
+var restoreSeeds = flag.Uint64("restoreSeeds", 10, "number of seeds of TestRestorationsUnderChanges")
+
+// restore makes the store unavailable for the given time and brings it back from a
+// copy that was made copyAge before. While it is unavailable to the nodes, write
+// may write to it; nil writes nothing.
+func (f *fleet) restore(copyAge, unavailable time.Duration, write func()) {
+	f.store.SetAway(true)
+	time.Sleep(unavailable)
+	f.store.Restore(copyAge + unavailable)
+	if write != nil {
+		write()
+	}
+	f.store.SetAway(false)
+}
+
+// publishOften advances the revision of the store by n.
+func (f *fleet) publishOften(name string, n int) {
+	for range n {
+		f.publishServer(name, f.vms[name].state)
+	}
+}
+
+// checkState checks the state of a VM's server on the lists of all nodes.
+func (f *fleet) checkState(name string, want lister.State) {
+	f.t.Helper()
+	for node, m := range f.vms {
+		s, ok := m.node.syncer.List().Server(f.vms[name].worker.id)
+		if !ok || s.State != want {
+			f.t.Errorf("server of VM %s on the list of VM %s: got listed %t, want listed in state %v", name, node, ok, want)
+		}
+	}
+}
+
+// Guards against a server list that is not updated until the revisions of a
+// restored store have passed the old ones.
+func TestChangesAfterRestoration(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.publishOften("a", 20)
+		f.restore(5*time.Second, time.Second, nil)
+		time.Sleep(storeSettleTime)
+		f.publishServer("g", lister.Leaving)
+		f.store.publishTables(baseTables(2))
+		time.Sleep(inForceWithin)
+		f.checkVersion(2)
+		f.checkState("g", lister.Leaving)
+	})
+}
+
+// Guards against changes that are never seen because the store gives out revisions
+// again that the nodes have already read, so that no watch fails.
+func TestChangesUnderRepeatedRevisions(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.publishOften("a", 5)
+		time.Sleep(time.Second)
+		f.restore(5*time.Second, time.Second, func() {
+			f.publishServer("g", lister.Leaving)
+			f.store.publishTables(baseTables(2))
+			f.publishOften("a", 10)
+		})
+		time.Sleep(inForceWithin)
+		f.checkVersion(2)
+		f.checkState("g", lister.Leaving)
+	})
+}
+
+// Guards against an entry being ignored because it was written under a lower
+// revision than the one that a restored store has lost.
+func TestEntryRewrittenUnderLowerRevision(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.publishOften("a", 5)
+		f.publishServer("g", lister.Ready)
+		f.restore(5*time.Second, time.Second, func() { f.publishServer("g", lister.Leaving) })
+		f.publishOften("a", 10)
+		time.Sleep(inForceWithin)
+		f.checkState("g", lister.Leaving)
+	})
+}
+
+// Guards against a server in use again that has left, because the copy from which
+// the store was restored still lists it as ready.
+func TestRemovedServerInCopyGetsNoRequests(t *testing.T) {
+	for name, announced := range map[string]bool{"leaving": true, "removed": false} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, oneOrderServer, func(f *fleet) {
+				time.Sleep(10 * time.Second)
+				if announced {
+					f.publishServer("b", lister.Leaving)
+				} else {
+					f.store.Delete("i-b")
+				}
+				time.Sleep(inForceWithin)
+				before := len(f.vms["b"].worker.runs())
+				f.restore(5*time.Second, time.Second, nil)
+				f.publishOften("a", 10)
+				time.AfterFunc(entryLifetime, func() { f.store.Delete("i-b") })
+				for range 50 {
+					f.send("a", f.requestText("POST", "shop.example", "/order/1", "x"))
+					time.Sleep(200 * time.Millisecond)
+				}
+				if got := len(f.vms["b"].worker.runs()) - before; got != 0 {
+					t.Errorf("runs at the server that has left: got %d, want 0", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against losing a server that registered after the copy was made, until it
+// has registered again, and against keeping one that does not register again.
+func TestServerAbsentFromCopy(t *testing.T) {
+	for name, returns := range map[string]bool{"registers again": true, "is gone": false} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, oneOrderServer, func(f *fleet) {
+				f.store.Delete("i-b")
+				time.Sleep(20 * time.Second)
+				f.publishServer("b", lister.Ready)
+				time.Sleep(inForceWithin)
+				f.restore(4*time.Second, 300*time.Millisecond, nil)
+				for range 9 {
+					if r := f.send("a", f.requestText("POST", "shop.example", "/order/1", "x")); r.status != 200 {
+						t.Errorf("request before the server can have registered again: got %d, want 200", r.status)
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				want := 503
+				if returns {
+					f.publishServer("b", lister.Ready)
+					want = 200
+				}
+				time.Sleep(inForceWithin)
+				if r := f.send("a", f.requestText("POST", "shop.example", "/order/1", "x")); r.status != want {
+					t.Errorf("request after that: got %d, want %d", r.status, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a server that stays unused although it has started again under its
+// id, while the restored copy lists its previous run.
+func TestServerStartedAgainAfterRestoration(t *testing.T) {
+	runFleet(t, oneOrderServer, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.publishServer("b", lister.Leaving)
+		time.Sleep(time.Second)
+		f.restore(5*time.Second, time.Second, nil)
+		f.vms["b"].startedAt, f.vms["b"].sequence = time.Now(), 0
+		f.publishServer("b", lister.Ready)
+		time.Sleep(inForceWithin)
+		if r := f.send("a", f.requestText("POST", "shop.example", "/order/1", "x")); r.status != 200 {
+			t.Errorf("request: got %d, want 200", r.status)
+		}
+	})
+}
+
+// Guards against readers that call a restored store in a loop while nothing is
+// written to it.
+func TestRestoredStoreIsNotPolled(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.publishOften("a", 20)
+		f.restore(5*time.Second, time.Second, nil)
+		before := f.store.Calls()
+		time.Sleep(20 * time.Second)
+		if got, want := f.store.Calls()-before, 2*readersPerRegion*25; got > want {
+			t.Errorf("store calls in 20 s: got %d, want at most %d", got, want)
+		}
+	})
+}
+
+// withoutGoldKey are tables from which the key of the callers has been withdrawn.
+func withoutGoldKey(version uint64) *resolver.Tables {
+	t := baseTables(version)
+	t.Organisations[0].Keys = []string{"another-key"}
+	return t
+}
+
+// restartNode kills the node of a VM and starts it again at once. Its backend
+// server goes on.
+func (f *fleet) restartNode(name string) { f.killNode(name, 0) }
+
+// Guards against a node that starts with the tables and entries of a restored copy
+// although its peers have newer ones: withdrawn keys and servers that have left
+// were in use again.
+func TestNodeStartedAfterRestorationAsksPeers(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.store.publishTables(withoutGoldKey(2))
+		f.publishServer("g", lister.Leaving)
+		time.Sleep(inForceWithin)
+		f.restore(5*time.Second, time.Second, nil)
+		time.Sleep(100 * time.Millisecond)
+		for _, name := range []string{"a", "d", "f"} {
+			f.restartNode(name)
+		}
+		for range 100 {
+			for _, name := range []string{"a", "d", "f"} {
+				if r := f.trySend(name, f.getRequest("shop.example", "/search/x")); r.status == 200 {
+					f.t.Fatalf("request with a withdrawn key at VM %s: got 200, want 401 or 503", name)
+				}
+				if n := f.vms[name].node; n.isReady() {
+					if s, ok := n.syncer.List().Server("i-g"); ok && s.State == lister.Ready {
+						f.t.Fatalf("leaving server on the list of VM %s, which is ready: got state Ready, want Leaving", name)
+					}
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.checkVersion(2)
+		f.checkState("g", lister.Leaving)
+		for _, name := range []string{"a", "d", "f"} {
+			if !f.vms[name].node.isReady() {
+				t.Errorf("node of VM %s 1 s after its start: got not ready, want ready", name)
+			}
+		}
+	})
+}
+
+// A node that starts while it reaches no peer must rely on the store alone.
+func TestNodeStartedWithoutPeersBecomesReady(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		f.isolate("a")
+		f.restartNode("a")
+		time.Sleep(2 * time.Second)
+		if !f.vms["a"].node.isReady() {
+			t.Error("node without peers 2 s after its start: got not ready, want ready")
+		}
+	})
+}
+
+// A restoration is one random run of changes, restorations and restarts.
+type restoration struct {
+	*fleet
+	rng *rand.Rand
+
+	isAway   bool      // the store is unavailable to all
+	unstable time.Time // end of the last outage of the store
+
+	mu          sync.Mutex
+	version     uint64               // of the newest tables
+	leftAt      map[string]time.Time // by VM, when the store has acknowledged that its server leaves
+	isGone      map[string]bool      // by VM; the server has ended
+	isReported  map[string]bool      // by VM; its server was found in use after it has left
+	disturbedAt map[string]time.Time // by VM, when its node was last restarted or rejected by the store
+	versions    map[*Node]uint64     // highest version seen on a node
+}
+
+// Guards against versions that fall, servers in use that have left, and nodes that
+// disagree, under drawn schedules of changes, restorations, lost histories,
+// rejected nodes and restarts.
+func TestRestorationsUnderChanges(t *testing.T) {
+	for seed := range *restoreSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runFleet(t, eightVMs, func(f *fleet) {
+				r := &restoration{
+					fleet: f, rng: rand.New(rand.NewPCG(seed, 22)), version: 1,
+					leftAt: make(map[string]time.Time), isGone: make(map[string]bool), isReported: make(map[string]bool),
+					disturbedAt: make(map[string]time.Time), versions: make(map[*Node]uint64),
+				}
+				r.run()
+			})
+		})
+	}
+}
+
+func (r *restoration) run() {
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
+		r.act()
+		r.checkFor(time.Duration(50+r.rng.IntN(1500)) * time.Millisecond)
+	}
+	for _, m := range r.vms {
+		r.store.SetRejected(m.address, false)
+	}
+	r.checkFor(storeSettleTime + entryLifetime + inForceWithin)
+	r.checkVersion(r.version)
+	for name := range r.vms {
+		for node, m := range r.vms {
+			s, ok := m.node.syncer.List().Server(r.vms[name].worker.id)
+			isUsed := ok && s.State == lister.Ready
+			if want := r.leftAt[name].IsZero(); isUsed != want {
+				r.t.Errorf("server of VM %s used by the node of VM %s at the end: got %t, want %t", name, node, isUsed, want)
+			}
+		}
+	}
+}
+
+// vm returns the name of a random VM. Two VMs are left alone, so that each region
+// keeps servers.
+func (r *restoration) vm() string {
+	names := []string{"a", "b", "c", "f", "g", "h"}
+	return names[r.rng.IntN(len(names))]
+}
+
+// act makes one random change or causes one fault.
+func (r *restoration) act() {
+	name := r.vm()
+	switch n := r.rng.IntN(20); {
+	case n < 6:
+		r.publishTables()
+	case n < 10:
+		r.changeServer(name)
+	case n < 13:
+		r.restoreStore()
+	case n < 14:
+		r.store.Compact()
+	case n < 16:
+		r.rejectNode(name)
+	case n < 18:
+		r.mark(name)
+		r.restartNode(name)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (r *restoration) mark(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbedAt[name] = time.Now()
+}
+
+func (r *restoration) publishTables() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version += 1 + r.rng.Uint64N(4)
+	r.store.publishTables(baseTables(r.version))
+}
+
+// changeServer makes a server leave or start again under its id, or write what it
+// has written before.
+func (r *restoration) changeServer(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !r.leftAt[name].IsZero():
+		if !r.isGone[name] {
+			return
+		}
+		delete(r.leftAt, name)
+		delete(r.isGone, name)
+		r.vms[name].startedAt, r.vms[name].sequence = time.Now(), 0
+		r.publishServer(name, lister.Ready)
+	case r.rng.IntN(3) > 0:
+		r.publishServer(name, lister.Ready)
+	default:
+		r.leftAt[name] = time.Now()
+		r.publishServer(name, lister.Leaving)
+		time.AfterFunc(3*time.Second, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.isGone[name] = true
+			r.store.Delete(r.vms[name].worker.id)
+		})
+	}
+}
+
+// restoreStore restores the store. The operator and the servers write again what
+// they have written since the copy was made, in random order; entries of servers
+// that have ended expire.
+func (r *restoration) restoreStore() {
+	age := time.Duration(1+r.rng.IntN(9)) * time.Second
+	unavailable := time.Duration(100+r.rng.IntN(2500)) * time.Millisecond
+	r.isAway = true
+	r.store.SetAway(true)
+	r.checkFor(unavailable)
+	r.mu.Lock()
+	lost := r.store.Restore(age + unavailable)
+	for _, item := range lost {
+		r.rewrite(item.Key, time.Duration(r.rng.Int64N(int64(rewriteTime))))
+	}
+	for name := range r.isGone {
+		time.AfterFunc(entryLifetime, func() { r.expire(name) })
+	}
+	r.mu.Unlock()
+	// Some write again before the nodes reach the store.
+	r.checkFor(time.Duration(r.rng.IntN(300)) * time.Millisecond)
+	r.store.SetAway(false)
+	r.unstable, r.isAway = time.Now(), false
+}
+
+// rewrite writes a lost key again after a delay, as its writer states it then.
+func (r *restoration) rewrite(key string, delay time.Duration) {
+	time.AfterFunc(delay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if key == tablesKey {
+			r.store.publishTables(baseTables(r.version))
+			return
+		}
+		for name, m := range r.vms {
+			if m.worker.id == key && !r.isGone[name] {
+				r.publishServer(name, m.state)
+			}
+		}
+	})
+}
+
+// expire removes the entry of a server that has ended.
+func (r *restoration) expire(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isGone[name] {
+		r.store.Delete(r.vms[name].worker.id)
+	}
+}
+
+// rejectNode makes the store reject the calls of a node for some time.
+func (r *restoration) rejectNode(name string) {
+	address := r.vms[name].address
+	r.mark(name)
+	r.store.SetRejected(address, true)
+	time.AfterFunc(time.Duration(500+r.rng.IntN(4000))*time.Millisecond, func() {
+		r.mark(name)
+		r.store.SetRejected(address, false)
+	})
+}
+
+// checkFor checks what must hold at any time, for the given time.
+func (r *restoration) checkFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		r.check()
+	}
+}
+
+func (r *restoration) check() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	isStable := !r.isAway && now.Sub(r.unstable) > storeSettleTime
+	for node, m := range r.vms {
+		n := m.node
+		if n.syncer == nil || !n.isReady() {
+			continue
+		}
+		version, _ := n.syncer.Versions()
+		if version < r.versions[n] {
+			r.t.Errorf("version of the tables on VM %s: got %d after %d", node, version, r.versions[n])
+		}
+		r.versions[n] = version
+		if !isStable || now.Sub(r.disturbedAt[node]) < storeSettleTime {
+			continue
+		}
+		for name, at := range r.leftAt {
+			s, ok := n.syncer.List().Server(r.vms[name].worker.id)
+			if ok && s.State == lister.Ready && now.Sub(at) > inForceWithin && !r.isReported[name] {
+				r.isReported[name] = true
+				r.t.Errorf("server of VM %s on the list of VM %s %v after it has left: got state Ready", name, node, now.Sub(at))
+			}
+		}
+	}
+}
--- a/standin/registrar/registrar.go
+++ b/standin/registrar/registrar.go
@@ -55,6 +55,9 @@
 	// A Store is a simulated metadata store. Its zero value is empty and ready to
 	// use, in era 0.
 	Store struct {
+		// Latency is the time that each answer takes.
+		Latency time.Duration
+
 		mu           sync.Mutex
 		changes      []change // oldest first; the revision is the index plus one
 		compactedTo  uint64   // changes up to this revision cannot be watched
@@ -153,6 +156,7 @@
 
 // Read returns all items.
 func (s *Store) Read(client netip.Addr) (*Answer, error) {
+	time.Sleep(s.Latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -173,6 +177,7 @@
 // Watch returns the changes after a revision as soon as there are any. The answer
 // has no items if there are none within the wait.
 func (s *Store) Watch(ctx context.Context, client netip.Addr, after uint64, wait time.Duration) (*Answer, error) {
+	time.Sleep(s.Latency)
 	s.mu.Lock()
 	s.calls++
 	restorations := s.restorations
