Order the server list by the era of the store and merge restored copies

What callers saw: after the store was restored from an older copy, requests went to servers that had announced that they leave, for as long as the revisions took to pass the old ones; changes of the tables reached the other nodes late or, if the counter had passed before a node asked again, never. Readers called the store in a loop meanwhile.

Cause: a revision alone decided which state is newer, in ten places. It orders states only as long as the store keeps its memory.

Fix: package sequencer orders positions by era, then revision, for the store's reader, the syncer, the links and the metrics. A watch answered from another era leads to a full read. On entering an era each entry is merged: the newer of what is known and what the copy shows applies, by the number that the server gives its own statements, until entries of servers that have ended can have expired. Entries that the copy lacks stay for the time in which servers register again. Links carry the era in new fields; a peer that states none is taken to be in the receiver's era.

--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -24,6 +24,7 @@
 	"apricotrudder.dev/apricotd/syncer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
+	"apricotrudder.dev/apricotd/version/sequencer"
 	"apricotrudder.dev/standin/connector"
 	"apricotrudder.dev/standin/registrar"
 )
@@ -389,13 +390,16 @@
 }
 
 func snapshotOf(answer *registrar.Answer) *syncer.Snapshot {
-	out := &syncer.Snapshot{Era: answer.Era, Revision: answer.Revision}
+	out := &syncer.Snapshot{Position: sequencer.Position{Era: answer.Era, Revision: answer.Revision}}
 	for _, item := range answer.Items {
 		if item.Key == tablesKey {
 			out.Tables = item.Value
 			continue
 		}
-		out.Servers = append(out.Servers, syncer.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Deleted})
+		out.Servers = append(out.Servers, syncer.Item{
+			Key: item.Key, Value: item.Value, Removed: item.Deleted,
+			Position: sequencer.Position{Era: answer.Era, Revision: item.Revision},
+		})
 	}
 	return out
 }
@@ -416,5 +420,6 @@
 	if err := json.Unmarshal(i.Value, &doc); err != nil {
 		return nil, err
 	}
+	doc.Server.StartedAt, doc.Server.Sequence = doc.StartedAt, doc.Sequence
 	return &doc.Server, nil
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -3,7 +3,8 @@
 // have no leases, claims or certificates.
 //
 // It guarantees the order of start and stop. A node reports that it is ready
-// once it has tables and a server list. A stopping node fails its readiness
+// once it has tables and a server list and has compared them with
+// those of a peer, or no peer has answered. A stopping node fails its readiness
 // check, accepts no new requests from peers after a grace period, serves callers
 // until they have had time to fail over, finishes the running requests, and only
 // then closes its connections.
@@ -83,6 +84,9 @@
 	// drainPollInterval, that find no active request.
 	drainPollInterval = 50 * time.Millisecond
 	drainIdlePolls    = 10
+	// missedHeartbeats is the number of heartbeats of a server after which the store
+	// removes its entry.
+	missedHeartbeats = 3
 	// operators is the name of the metrics server in logs and errors.
 	operators = "operators"
 )
@@ -190,6 +194,8 @@
 		Log:      n.Log,
 		OnChange: n.onStateChange,
 		IsReader: n.shouldReadStore,
+
+		EntryLifetime: missedHeartbeats * time.Duration(s.Store.Heartbeat),
 	}
 	n.readers = &readerSelector{
 		Self:      s.Listen.Links.Addr(),
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -99,13 +99,8 @@
 	}
 	n.metrics.NewGauge("apricot_callers_active", func() float64 { return float64(n.acceptor.ActiveRequests()) })
 	n.metrics.NewGauge("apricot_peers_linked", func() float64 { return float64(n.linker.PeerCount()) })
-	n.metrics.NewGauge("apricot_config_version", func() float64 {
-		tables, _ := n.syncer.Versions()
-		return float64(tables)
-	})
-	n.metrics.NewGauge("apricot_store_era", func() float64 { return float64(n.syncer.Era()) })
-	n.metrics.NewGauge("apricot_servers_revision", func() float64 {
-		_, servers := n.syncer.Versions()
-		return float64(servers)
-	})
+	n.metrics.NewGauge("apricot_config_version", func() float64 { return float64(n.syncer.Versions().Tables) })
+	n.metrics.NewGauge("apricot_servers_revision", func() float64 { return float64(n.syncer.Versions().Servers.Revision) })
+	n.metrics.NewGauge("apricot_store_era", func() float64 { return float64(n.syncer.Versions().Servers.Era) })
+	n.metrics.NewGauge("apricot_servers_overridden", func() float64 { return float64(n.syncer.OverriddenCount()) })
 }
--- a/apricotd/mesher/restore_test.go
+++ b/apricotd/mesher/restore_test.go
@@ -462,7 +462,7 @@
 		if n.syncer == nil || !n.isReady() {
 			continue
 		}
-		version, _ := n.syncer.Versions()
+		version := n.syncer.Versions().Tables
 		if version < r.versions[n] {
 			r.t.Errorf("version of the tables on VM %s: got %d after %d", node, version, r.versions[n])
 		}
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -10,6 +10,9 @@
 	"apricotrudder.dev/apricotd/decoder"
 )
 
+// defaultHeartbeat applies if the settings have no store.heartbeat.
+const defaultHeartbeat = decoder.Duration(1500 * time.Millisecond)
+
 type (
 	// Settings is the content of the settings file.
 	Settings struct {
@@ -45,9 +48,12 @@
 		Address netip.AddrPort `toml:"address"`
 	}
 
-	// Store holds the address of the platform's metadata store.
+	// Store describes the platform's metadata store.
 	Store struct {
 		Address netip.AddrPort `toml:"address"`
+		// Heartbeat is how often backend servers renew their entries; the default is
+		// 1.5 s.
+		Heartbeat decoder.Duration `toml:"heartbeat"`
 	}
 
 	// Limits bounds the memory of the process and the time that it takes to stop.
@@ -96,7 +102,7 @@
 // Parse decodes and checks the content of a settings file; document names it in
 // errors.
 func Parse(document string, data []byte) (*Settings, error) {
-	s := &Settings{Log: Log{Level: "info"}}
+	s := &Settings{Log: Log{Level: "info"}, Store: Store{Heartbeat: defaultHeartbeat}}
 	if err := decoder.Decode(document, data, s); err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
@@ -146,7 +152,7 @@
 		key   string
 		value decoder.Duration
 	}{
-		{"limits.stopWithin", s.Limits.StopWithin}, {"retries.window", s.Retries.Window}, {"rates.window", s.Rates.Window},
+		{"store.heartbeat", s.Store.Heartbeat}, {"limits.stopWithin", s.Limits.StopWithin}, {"retries.window", s.Retries.Window}, {"rates.window", s.Rates.Window},
 	} {
 		if f.value <= 0 {
 			addError(f.key, time.Duration(f.value).String(), "a duration above 0s")
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -11,6 +11,7 @@
 
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/syncer"
+	"apricotrudder.dev/apricotd/version/sequencer"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -23,10 +24,11 @@
 
 // beat returns this node's heartbeat.
 func (n *Node) beat() *linkwire.Beat {
-	tables, servers := n.syncer.Versions()
+	v := n.syncer.Versions()
 	return &linkwire.Beat{
-		Tables:  tables,
-		Servers: servers,
+		Tables:  v.Tables,
+		Servers: v.Servers.Revision,
+		Era:     &v.Servers.Era,
 		Leaving: n.leaving.Load(),
 		Served:  n.readers.isReader() && n.syncer.IsStoreAvailable(),
 		Vouched: n.vouching.current(),
@@ -83,21 +85,34 @@
 // hasNewerState reports whether the sender of a heartbeat has newer tables or a
 // newer server list than this node.
 func (n *Node) hasNewerState(b *linkwire.Beat) bool {
-	tables, servers := n.syncer.Versions()
-	return b.Tables > tables || b.Servers > servers
+	return n.syncer.Versions().IsBehind(sequencer.Versions{Tables: b.Tables, Servers: position(b.Era, b.Servers)})
 }
 
-func (n *Node) fetchFrame() *linkwire.Frame {
-	tables, servers := n.syncer.Versions()
-	return &linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{Tables: tables, Servers: servers}}}
+func (n *Node) fetchFrame() *linkwire.Frame { return fetchFrame(n.syncer.Versions()) }
+
+// fetchFrame returns the frame that requests the state after the given versions.
+func fetchFrame(v sequencer.Versions) *linkwire.Frame {
+	return &linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{Tables: v.Tables, Servers: v.Servers.Revision, Era: &v.Servers.Era}}}
+}
+
+// position returns the position for a revision in a frame. A nil era is that of a
+// peer whose program does not know eras.
+func position(era *int64, revision uint64) sequencer.Position {
+	if era == nil {
+		return sequencer.Position{Era: sequencer.NoEra, Revision: revision}
+	}
+	return sequencer.Position{Era: *era, Revision: revision}
 }
 
 func (n *Node) sendSnapshot(l *linker.Link, f *linkwire.Fetch) {
-	state := n.syncer.ChangesSince(f.Tables, f.Servers)
-	out := &linkwire.Snapshot{Tables: deflate(state.Tables), Revision: state.Revision, Whole: state.Full}
+	state := n.syncer.ChangesSince(sequencer.Versions{Tables: f.Tables, Servers: position(f.Era, f.Servers)})
+	out := &linkwire.Snapshot{
+		Tables: deflate(state.Tables), Revision: state.Position.Revision, Era: &state.Position.Era, Whole: state.Full,
+	}
 	for _, item := range state.Servers {
 		out.Items = append(out.Items, &linkwire.Item{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Gone: item.Removed, HeldForMs: uint32(item.GraceLeft.Milliseconds()),
+			Key: item.Key, Value: item.Value, Revision: item.Position.Revision, Era: &item.Position.Era, Gone: item.Removed,
+			HeldForMs: uint32(item.GraceLeft.Milliseconds()),
 		})
 	}
 	l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Snapshot{Snapshot: out}})
@@ -108,10 +123,11 @@
 	if err != nil {
 		return fmt.Errorf("decompress tables: %w", err)
 	}
-	state := &syncer.Snapshot{Tables: tables, Revision: s.Revision, Full: s.Whole}
+	state := &syncer.Snapshot{Tables: tables, Position: position(s.Era, s.Revision), Full: s.Whole}
 	for _, item := range s.Items {
 		state.Servers = append(state.Servers, syncer.Item{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Gone, GraceLeft: time.Duration(item.HeldForMs) * time.Millisecond,
+			Key: item.Key, Value: item.Value, Position: position(item.Era, item.Revision), Removed: item.Gone,
+			GraceLeft: time.Duration(item.HeldForMs) * time.Millisecond,
 		})
 	}
 	n.syncer.Apply(state, l.Peer.String())
--- a/apricotd/mesher/state_test.go
+++ b/apricotd/mesher/state_test.go
@@ -37,7 +37,7 @@
 		skip[name] = true
 	}
 	for name, m := range f.vms {
-		if got, _ := m.node.syncer.Versions(); got != version && !skip[name] {
+		if got := m.node.syncer.Versions().Tables; got != version && !skip[name] {
 			f.t.Errorf("version of the tables on VM %s: got %d, want %d", name, got, version)
 		}
 	}
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/apricotd/version/sequencer"
 )
 
 const (
@@ -18,8 +19,16 @@
 	// the server usable after its entry is gone.
 	healthReportTTL = 1500 * time.Millisecond
 	// tombstoneTTL is how long a removed entry is retained, for peers that fetch
-	// changes and for health reports about its server.
-	tombstoneTTL = 15 * time.Second
+	// changes, for health reports about its server, and for copies of the store that
+	// still contain the entry.
+	tombstoneTTL = 2 * time.Minute
+	// defaultEntryLifetime applies if Syncer.EntryLifetime is zero.
+	defaultEntryLifetime = 4500 * time.Millisecond
+	// overrideMargin is how long the removal of an entry may take to reach this node
+	// after the entry has expired.
+	overrideMargin = time.Second
+	// maxEraStep is the greatest credible rise of the era between two answers.
+	maxEraStep = 1000
 	// sweepInterval is how often entries are checked for expiry.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -27,83 +36,181 @@
 // An entry is usable while it is in the store, in its grace period, or reported
 // healthy by its server's own node.
 type entry struct {
-	item             Item           // as last published in the store
-	server           *lister.Server // nil if the entry could not be decoded
-	removedAt        time.Time      // zero while the entry is in the store
-	removedRevision  uint64         // revision of the removal
-	graceEnd         time.Time      // end of the grace period of a removed entry
-	healthReportedAt time.Time      // when its node last reported it healthy
-	usable           bool           // as of the last publish
+	item             Item               // last statement of the server
+	server           *lister.Server     // nil if the entry could not be decoded
+	position         sequencer.Position // of the statement or, if there is one, of the removal
+	removedAt        time.Time          // zero while the entry is in the store
+	graceEnd         time.Time          // end of the grace period of a removed entry
+	healthReportedAt time.Time          // when its node last reported it healthy
+	usable           bool               // as of the last publish
+	// overridden is the item that a restored store shows instead of this state and
+	// that is older; nil if there is none.
+	overridden *Item
 }
 
 func (e *entry) isUsable(now time.Time) bool {
-	return e.removedAt.IsZero() || now.Before(e.graceEnd) || now.Sub(e.healthReportedAt) < healthReportTTL
+	return e.removedAt.IsZero() || e.isInGrace(now) || now.Sub(e.healthReportedAt) < healthReportTTL
+}
+
+func (e *entry) isInGrace(now time.Time) bool { return now.Before(e.graceEnd) }
+
+// isNewerThan reports whether the state of e is newer than an item that may come
+// from an older copy of the store. Servers number their statements; without
+// numbers, the state in which the server gets no requests is taken to be the newer
+// one. A removal in its grace period is not certain.
+func (e *entry) isNewerThan(shown *lister.Server, now time.Time) bool {
+	isRemoved := !e.removedAt.IsZero() && !e.isInGrace(now)
+	if e.server == nil || shown == nil {
+		return isRemoved
+	}
+	order, ok := e.server.CompareStatement(shown)
+	switch {
+	case !ok:
+		return isRemoved || e.server.State == lister.Leaving && shown.State == lister.Ready
+	case order == 0:
+		return isRemoved
+	}
+	return order > 0
 }
 
 // applyServers merges the server entries of a snapshot and publishes a new list.
 // It reports whether there was anything to merge.
 func (s *Syncer) applyServers(snapshot *Snapshot, source string) bool {
-	if snapshot.Revision == 0 {
+	if snapshot.Position.IsZero() {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if snapshot.Full && snapshot.Revision < s.revision {
-		s.Log.WithField("source", source).WithField("era", snapshot.Era).WithField("revision", snapshot.Revision).
-			WithField("heldRevision", s.revision).Warn("full server list ignored; its revision is lower than the one in use")
-	}
-	if snapshot.Revision < s.revision || !snapshot.Full && len(snapshot.Servers) == 0 {
-		s.revision = max(s.revision, snapshot.Revision)
+	position := snapshot.Position.InEra(s.position.Era)
+	var absentFor time.Duration // grace period of entries that the snapshot lacks
+	switch {
+	case !s.position.IsZero() && position.Era > s.position.Era+maxEraStep:
+		s.Log.WithField("source", source).WithField("era", position.Era).WithField("heldEra", s.position.Era).
+			Error("state ignored; the rise of its era is not credible")
+		return false
+	case s.position.IsZero() || position.Era > s.position.Era:
+		if !snapshot.Full {
+			return false
+		}
+		absentFor = s.enterEra(position, source)
+	case position.Era < s.position.Era || snapshot.Full && position.Revision < s.position.Revision:
+		return s.applyEarlier(snapshot, position, source)
+	case !snapshot.Full && (position.Revision < s.position.Revision || len(snapshot.Servers) == 0):
+		s.position.Revision = max(s.position.Revision, position.Revision)
 		return false
 	}
 	listed := make(map[string]bool, len(snapshot.Servers))
 	for _, item := range snapshot.Servers {
 		listed[item.Key] = true
-		if item.Removed {
-			s.remove(item, snapshot.Revision)
-		} else {
-			s.put(item)
-		}
+		s.merge(item.within(position))
 	}
 	if snapshot.Full {
 		for key := range s.entries {
 			if !listed[key] {
-				s.remove(Item{Key: key, Removed: true}, snapshot.Revision)
+				s.merge(Item{Key: key, Position: position, Removed: true, GraceLeft: absentFor})
+			}
+		}
+		s.removalsRetainedAfter = position.Revision
+	}
+	s.position = position
+	s.publish()
+	s.Log.WithField("era", position.Era).WithField("revision", position.Revision).WithField("items", len(snapshot.Servers)).
+		WithField("whole", snapshot.Full).WithField("overridden", s.overriddenCount()).WithField("source", source).Info("server list updated")
+	return true
+}
+
+// enterEra starts to count in the era of a position. What was written in that era
+// up to this position may be as old as the copy from which the store was restored.
+// It returns the time for which entries that the copy lacks may stay in use, since
+// their servers register again. s.mu must be held.
+func (s *Syncer) enterEra(position sequencer.Position, source string) time.Duration {
+	now := time.Now()
+	previous := s.position
+	s.position = sequencer.Position{Era: position.Era}
+	s.eraStart = position.Revision
+	s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
+	if previous.IsZero() {
+		return 0
+	}
+	s.Log.WithField("era", position.Era).WithField("revision", position.Revision).WithField("previousEra", previous.Era).
+		WithField("previousRevision", previous.Revision).WithField("source", source).Warn("store was restored from a copy; keeping what is newer here")
+	if now.Sub(s.outageEnd) > recoveryGrace {
+		return recoveryGrace // this node has not noticed the outage
+	}
+	return max(0, s.recoveredAt.Add(recoveryGrace).Sub(now))
+}
+
+// applyEarlier merges what a peer knows from before the position of this node, as
+// far as it concerns entries that may come from an older copy of the store. A node
+// that starts right after a restoration learns of servers that have left in this
+// way. s.mu must be held.
+func (s *Syncer) applyEarlier(snapshot *Snapshot, position sequencer.Position, source string) bool {
+	before := s.overriddenCount()
+	if time.Now().Before(s.overridesEnd) {
+		for _, item := range snapshot.Servers {
+			if s.entries[item.Key] != nil {
+				s.merge(item.within(position))
 			}
 		}
-		s.removalsRetainedAfter = snapshot.Revision
 	}
-	s.revision = snapshot.Revision
+	overridden := s.overriddenCount()
+	s.Log.WithField("source", source).WithField("era", position.Era).WithField("revision", position.Revision).
+		WithField("heldEra", s.position.Era).WithField("heldRevision", s.position.Revision).WithField("overridden", overridden).
+		Info("older server list received")
+	if overridden == before {
+		return false
+	}
 	s.publish()
-	s.Log.WithField("revision", snapshot.Revision).WithField("items", len(snapshot.Servers)).WithField("whole", snapshot.Full).
-		WithField("source", source).Info("server list updated")
 	return true
 }
 
-// ChangesSince returns the changes after a version of the tables and a revision of
-// the server list. It returns the full list if some of the removals after the
-// revision are no longer retained.
-func (s *Syncer) ChangesSince(tables, servers uint64) *Snapshot {
+func (s *Syncer) entryLifetime() time.Duration {
+	if s.EntryLifetime == 0 {
+		return defaultEntryLifetime
+	}
+	return s.EntryLifetime
+}
+
+// overriddenCount returns the number of entries whose state here is newer than the
+// one that the store shows. s.mu must be held.
+func (s *Syncer) overriddenCount() int {
+	n := 0
+	for _, e := range s.entries {
+		if e.overridden != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// ChangesSince returns the changes after the given versions. It returns the full
+// list if they are of another era, if they have no server list, or if some of the
+// removals after them are no longer retained.
+func (s *Syncer) ChangesSince(v sequencer.Versions) *Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changes := &Snapshot{}
-	if r := s.resolver.Load(); r != nil && r.Tables.Version > tables {
+	if r := s.resolver.Load(); r != nil && r.Tables.Version > v.Tables {
 		changes.Tables = r.Tables.Raw
 	}
-	if s.revision <= servers {
+	after := v.Servers.InEra(s.position.Era)
+	if !after.IsZero() && s.position.Compare(after) <= 0 {
 		return changes
 	}
-	changes.Revision = s.revision
-	changes.Full = servers < s.removalsRetainedAfter || servers == 0
+	changes.Position = s.position
+	changes.Full = after.Era != s.position.Era || after.Revision < s.removalsRetainedAfter || after.IsZero()
 	now := time.Now()
-	for key, e := range s.entries {
-		switch {
-		case !e.removedAt.IsZero():
-			if e.removedRevision > servers {
-				changes.Servers = append(changes.Servers, Item{Key: key, Revision: e.removedRevision, Removed: true, GraceLeft: max(0, e.graceEnd.Sub(now))})
-			}
-		case changes.Full || e.item.Revision > servers:
-			changes.Servers = append(changes.Servers, e.item)
+	for _, e := range s.entries {
+		if !changes.Full && e.position.Compare(after) <= 0 {
+			continue
+		}
+		item := e.shown()
+		if !e.removedAt.IsZero() {
+			item.Removed, item.GraceLeft = true, max(0, e.graceEnd.Sub(now))
+		}
+		changes.Servers = append(changes.Servers, item)
+		if e.overridden != nil {
+			changes.Servers = append(changes.Servers, *e.overridden)
 		}
 	}
 	return changes
@@ -149,42 +256,95 @@
 	return false, false
 }
 
-// put adds or replaces an entry unless a newer one is known. s.mu must be held.
-func (s *Syncer) put(item Item) {
-	if s.entries == nil {
-		s.entries = make(map[string]*entry)
-	}
-	old := s.entries[item.Key]
-	if old != nil && old.item.Revision >= item.Revision && (old.removedAt.IsZero() || old.removedRevision > item.Revision) {
-		if !bytes.Equal(old.item.Value, item.Value) {
-			s.Log.WithField("key", item.Key).WithField("revision", item.Revision).WithField("heldRevision", old.item.Revision).
-				Info("entry ignored; its revision is not higher than the one in use")
-		}
+// merge merges one item into the entry of its key. s.position must have the
+// current era, and s.mu must be held.
+func (s *Syncer) merge(item Item) {
+	e := s.entries[item.Key]
+	if e == nil {
+		s.put(item)
 		return
 	}
-	server, err := s.Decoder.Server(item)
-	if err != nil {
-		s.Log.WithError(err).WithField("key", item.Key).Warn("backend server entry could not be decoded")
+	now := time.Now()
+	switch order := item.Position.Compare(e.position); {
+	case item.Position.Era == e.position.Era:
+		if order > 0 {
+			s.put(item)
+		}
+	case order > 0 && e.removedAt.IsZero() && !item.Removed && bytes.Equal(item.Value, e.item.Value):
+		e.position, e.overridden = item.Position, nil
+	case order > 0 && s.mayBeFromCopy(item) && e.isNewerThan(s.decode(item), now):
+		e.overridden = &item
+	case order > 0:
+		s.put(item)
+	case now.Before(s.overridesEnd) && e.overridden == nil && e.removedAt.IsZero() && s.mayBeFromCopy(e.shown()):
+		earlier := s.newEntry(item)
+		if earlier.isNewerThan(e.server, now) {
+			shown := e.shown()
+			earlier.overridden = &shown
+			s.entries[item.Key] = earlier
+		}
 	}
-	s.entries[item.Key] = &entry{item: item, server: server}
 }
 
-// remove marks an entry as removed unless a newer one is known. The entry's grace
-// period ends with the one that a peer has sent or with recoveryGrace after the
-// last outage, whichever is later. s.mu must be held.
-func (s *Syncer) remove(item Item, revision uint64) {
+// shown returns the last statement of the server with the position of the entry.
+func (e *entry) shown() Item {
+	item := e.item
+	item.Position = e.position
+	return item
+}
+
+// mayBeFromCopy reports whether an item of the current era may have been written
+// before the store was restored. s.mu must be held.
+func (s *Syncer) mayBeFromCopy(item Item) bool {
+	return !item.Removed && item.Position.Era == s.position.Era && item.Position.Revision <= s.eraStart
+}
+
+// put replaces the entry of an item's key. A removal keeps the server's last
+// statement; its grace period ends with the one that a peer has sent or with
+// recoveryGrace after the last outage, whichever is later. s.mu must be held.
+func (s *Syncer) put(item Item) {
+	if s.entries == nil {
+		s.entries = make(map[string]*entry)
+	}
 	e := s.entries[item.Key]
-	if e == nil || !e.removedAt.IsZero() || item.Revision != 0 && item.Revision < e.item.Revision {
+	if e == nil || !item.Removed {
+		s.entries[item.Key] = s.newEntry(item)
+		return
+	}
+	e.position, e.overridden = item.Position, nil
+	if !e.removedAt.IsZero() {
 		return
 	}
 	now := time.Now()
-	e.removedAt, e.removedRevision = now, max(item.Revision, revision)
-	e.graceEnd = now.Add(item.GraceLeft)
+	e.removedAt, e.graceEnd = now, now.Add(item.GraceLeft)
 	if recoveryEnd := s.recoveredAt.Add(recoveryGrace); recoveryEnd.After(e.graceEnd) {
 		e.graceEnd = recoveryEnd
 	}
 }
 
+// newEntry returns the entry for an item. s.mu must be held.
+func (s *Syncer) newEntry(item Item) *entry {
+	e := &entry{item: item, position: item.Position}
+	if !item.Removed || len(item.Value) > 0 {
+		e.server = s.decode(item)
+	}
+	if item.Removed {
+		now := time.Now()
+		e.removedAt, e.graceEnd = now, now.Add(item.GraceLeft)
+	}
+	return e
+}
+
+// decode returns the server of an item, or nil if the item cannot be decoded.
+func (s *Syncer) decode(item Item) *lister.Server {
+	server, err := s.Decoder.Server(item)
+	if err != nil {
+		s.Log.WithError(err).WithField("key", item.Key).Warn("backend server entry could not be decoded")
+		return nil
+	}
+	return server
+}
+
 // publish rebuilds the server list from the usable entries. s.mu must be held.
 func (s *Syncer) publish() {
 	now := time.Now()
@@ -195,11 +355,11 @@
 			servers = append(servers, e.server)
 		}
 	}
-	s.list.Store(lister.New(s.revision, servers))
+	s.list.Store(lister.New(s.position.Revision, servers))
 }
 
-// sweep drops servers whose grace period and health report have expired, and
-// deletes old tombstones.
+// sweep drops servers whose grace period and health report have expired, ends
+// overrides, and deletes old tombstones.
 func (s *Syncer) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -215,22 +375,44 @@
 
 func (s *Syncer) sweepOnce(now time.Time) {
 	s.mu.Lock()
-	var expired []string
+	var expired, shown []string
+	if !s.isStoreAccessible(now) {
+		// Entries of servers that have ended cannot expire in an outage.
+		s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
+	}
 	for key, e := range s.entries {
+		if e.overridden != nil && !now.Before(s.overridesEnd) {
+			shown = append(shown, key)
+			e = s.newEntry(*e.overridden)
+			s.entries[key] = e
+		}
 		if e.usable && !e.isUsable(now) {
 			expired = append(expired, key)
 		}
 		if !e.removedAt.IsZero() && now.Sub(e.removedAt) > tombstoneTTL && !e.isUsable(now) {
 			delete(s.entries, key)
-			s.removalsRetainedAfter = max(s.removalsRetainedAfter, e.removedRevision)
+			if e.position.Era == s.position.Era {
+				s.removalsRetainedAfter = max(s.removalsRetainedAfter, e.position.Revision)
+			}
 		}
 	}
-	if len(expired) > 0 {
+	if len(expired)+len(shown) > 0 {
 		s.publish()
 	}
 	s.mu.Unlock()
 	if len(expired) > 0 {
 		s.Log.WithField("gone", expired).Info("removed servers dropped from the server list")
+	}
+	if len(shown) > 0 {
+		s.Log.WithField("servers", shown).Info("servers used as the restored store lists them; their entries have not expired")
+	}
+	if len(expired)+len(shown) > 0 {
 		s.OnChange()
 	}
 }
+
+// isStoreAccessible reports whether the store has lately answered this node or a
+// peer that reads it. s.mu must be held.
+func (s *Syncer) isStoreAccessible(now time.Time) bool {
+	return now.Sub(s.lastAccess) < maxAnswerAge
+}
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -6,6 +6,12 @@
 // replicate changes to the others; a reader that cannot reach the store gets
 // the changes from its peers. The store is read and watched, never written.
 //
+// The store may be restored from an older copy. Its answers then belong to a later
+// era, whatever their revisions (package sequencer). The copy neither removes what
+// is known here, since its writers write it again, nor brings back what has ended:
+// until the entries of servers that have ended can have expired, the newer of the
+// known state and the entry shown applies.
+//
 // # Usage
 //
 //	s := &syncer.Syncer{Store: store, Decoder: decoder, Log: log, OnChange: announce, IsReader: isReader}
@@ -30,6 +36,7 @@
 
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
+	"apricotrudder.dev/apricotd/version/sequencer"
 )
 
 const (
@@ -55,8 +62,6 @@
 	// sourceStore is the source logged for state from the store. For state from
 	// a peer it is the peer's address.
 	sourceStore = "store"
-	// NoEra is the era of a snapshot whose source does not state one.
-	NoEra = -1
 )
 
 // ErrHistoryGone is returned by Store.Watch if the store no longer has the
@@ -66,27 +71,29 @@
 type (
 	// An Item is the published entry of one backend server.
 	Item struct {
-		Key      string
-		Value    []byte
-		Revision uint64
-		// Removed reports that the entry was removed; Value is empty then.
+		Key string
+		// Value is the entry or, if it was removed, the last one, if that is known.
+		Value []byte
+		// Position is that of the write or of the removal. If it has no era, that of
+		// the snapshot applies.
+		Position sequencer.Position
+		// Removed reports that the entry was removed.
 		Removed bool
 		// GraceLeft is the rest of the grace period of an entry that was removed
 		// during an outage of the store or shortly after one.
 		GraceLeft time.Duration
 	}
 
-	// A Snapshot is the full published state at a revision, or the changes up to
-	// that revision.
+	// A Snapshot is the full published state at a position, or the changes up to
+	// that position.
 	Snapshot struct {
-		Tables  []byte // empty if there are none or they have not changed
-		Servers []Item // in the order of the changes
-		// Era identifies the history of the store in which Revision counts. It rises
-		// when the store is restored from a copy, after which revisions that were
-		// given out before are given out again.
-		Era      int64
-		Revision uint64 // 0 if the snapshot does not cover servers
-		Full     bool   // Servers is the full list
+		Tables []byte // empty if there are none or they have not changed
+		// Servers are the entries in the order of the changes. If the store shows an
+		// entry that is older than the state known, both are contained, the entry that
+		// is shown last.
+		Servers  []Item
+		Position sequencer.Position // zero if the snapshot does not cover servers
+		Full     bool               // Servers is the full list
 	}
 
 	// A Store publishes the state.
@@ -114,19 +121,25 @@
 		OnChange func()
 		// IsReader reports whether this node is currently a reader of the store.
 		IsReader func() bool
+		// EntryLifetime is the time after which the store removes the entry of a server
+		// that does not renew it; zero means 4.5 s.
+		EntryLifetime time.Duration
 
 		resolver atomic.Pointer[resolver.Resolver]
 		list     atomic.Pointer[lister.List]
 
 		mu                    sync.Mutex
 		entries               map[string]*entry
-		revision              uint64
-		era                   int64     // last era that the store has stated
+		position              sequencer.Position
+		eraStart              uint64    // revision at which this node entered the era
+		overridesEnd          time.Time // when entries of a restored store apply even if they look older
 		tablesActivatedAt     time.Time // when the active tables were activated
 		removalsRetainedAfter uint64    // all removals after this revision are retained
 		lastAnswer            time.Time // when the store last answered
 		failingSince          time.Time // start of the current outage; zero if there is none
-		recoveredAt           time.Time // end of the last outage
+		recoveredAt           time.Time // end of the last outage of the store
+		outageEnd             time.Time // when this node noticed that end
+		lastAccess            time.Time // when the store last answered this node or a reader
 		// peerAnsweredAt is when a peer first reported during an outage that it
 		// can reach the store.
 		peerAnsweredAt time.Time
@@ -140,15 +153,25 @@
 // List returns the list of backend servers, or nil if none has been loaded.
 func (s *Syncer) List() *lister.List { return s.list.Load() }
 
-// Versions returns the version of the active tables and the revision of the
-// server list.
-func (s *Syncer) Versions() (tables, servers uint64) {
+// Versions returns the version of the active tables and the position of the server
+// list.
+func (s *Syncer) Versions() sequencer.Versions {
+	var v sequencer.Versions
 	if r := s.resolver.Load(); r != nil {
-		tables = r.Tables.Version
+		v.Tables = r.Tables.Version
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return tables, s.revision
+	v.Servers = s.position
+	return v
+}
+
+// OverriddenCount returns the number of entries whose state here is newer than the
+// one that the store shows since it was restored from a copy.
+func (s *Syncer) OverriddenCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.overriddenCount()
 }
 
 // IsStoreAvailable reports whether the store is answering this node: no outage is
@@ -170,25 +193,6 @@
 	return time.Since(s.tablesActivatedAt)
 }
 
-// Era returns the last era that the store has stated.
-func (s *Syncer) Era() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.era
-}
-
-// recordEra logs a change of the store's era.
-func (s *Syncer) recordEra(snapshot *Snapshot) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if snapshot.Era == NoEra || snapshot.Era == s.era {
-		return
-	}
-	s.Log.WithField("era", snapshot.Era).WithField("previousEra", s.era).WithField("revision", snapshot.Revision).
-		WithField("heldRevision", s.revision).WithField("whole", snapshot.Full).Info("store states another era")
-	s.era = snapshot.Era
-}
-
 // StoreOutage returns the time since the first failed call of the current
 // outage. It is zero if the store answers or has not been called.
 func (s *Syncer) StoreOutage() time.Duration {
@@ -219,8 +223,7 @@
 // CheckStore makes one call to the store and returns an error if it does not
 // answer.
 func (s *Syncer) CheckStore(ctx context.Context) error {
-	_, revision := s.Versions()
-	_, err := s.watch(ctx, revision, 0)
+	_, err := s.watch(ctx, s.Versions().Servers.Revision, 0)
 	if errors.Is(err, ErrHistoryGone) {
 		return nil
 	}
@@ -228,25 +231,44 @@
 }
 
 // poll reads the full state if none has been loaded, and otherwise watches for
-// changes.
+// changes. A watch from a revision of another era says nothing about the changes
+// since then, even if the store has such a revision again.
 func (s *Syncer) poll(ctx context.Context) error {
-	_, revision := s.Versions()
-	if revision == 0 {
+	position := s.Versions().Servers
+	if position.IsZero() {
 		return s.readAll(ctx)
 	}
-	changes, err := s.watch(ctx, revision, watchWait)
+	changes, err := s.watch(ctx, position.Revision, watchWait)
 	if errors.Is(err, ErrHistoryGone) {
-		s.Log.WithField("revision", revision).Info("store no longer has the changes after this revision; reading the full state")
-		return s.readAll(ctx)
+		s.Log.WithField("era", position.Era).WithField("revision", position.Revision).
+			Info("store no longer has the changes after this revision; reading the full state")
+		return s.reread(ctx, position)
 	}
 	if err != nil {
 		return err
 	}
-	s.recordEra(changes)
+	changes.Position = changes.Position.InEra(position.Era)
+	if era := changes.Position.Era; era > position.Era {
+		return s.reread(ctx, position)
+	} else if era < position.Era {
+		return errors.Errorf("watch store: got an answer of era %d, want era %d or later", era, position.Era)
+	}
 	s.Apply(changes, sourceStore)
 	return nil
 }
 
+// reread reads the full state because a watch from a position has failed. If that
+// leads to no other position, the next watch would fail at once, so it is delayed.
+func (s *Syncer) reread(ctx context.Context, position sequencer.Position) error {
+	if err := s.readAll(ctx); err != nil {
+		return err
+	}
+	if s.Versions().Servers == position {
+		sleep(ctx, retryInterval/2+rand.N(retryInterval))
+	}
+	return nil
+}
+
 func (s *Syncer) watch(ctx context.Context, after uint64, wait time.Duration) (*Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
@@ -268,7 +290,6 @@
 		return fmt.Errorf("read store: %w", err)
 	}
 	s.recordSuccess()
-	s.recordEra(snapshot)
 	s.Apply(snapshot, sourceStore)
 	return nil
 }
@@ -281,10 +302,11 @@
 func (s *Syncer) RecordPeerStoreAccess() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lastAccess = time.Now()
 	if s.failingSince.IsZero() || !s.peerAnsweredAt.IsZero() || time.Since(s.failingSince) <= maxAnswerAge+maxHeartbeatDelay {
 		return
 	}
-	s.peerAnsweredAt = time.Now()
+	s.peerAnsweredAt = s.lastAccess
 }
 
 // recordSuccess records an answer and ends the current outage. recoveryGrace counts
@@ -296,7 +318,7 @@
 	now := time.Now()
 	if !s.failingSince.IsZero() {
 		if now.Sub(s.failingSince) > minOutage {
-			s.recoveredAt = now
+			s.recoveredAt, s.outageEnd = now, now
 			if !s.peerAnsweredAt.IsZero() {
 				s.recoveredAt = s.peerAnsweredAt
 			}
@@ -304,7 +326,7 @@
 		s.Log.WithField("failedForMs", now.Sub(s.failingSince).Milliseconds()).Info("store is available again")
 		s.failingSince = time.Time{}
 	}
-	s.lastAnswer = now
+	s.lastAnswer, s.lastAccess = now, now
 }
 
 func (s *Syncer) recordFailure(err error) {
@@ -348,6 +370,13 @@
 	return true
 }
 
+// within returns the item with its position in the era of a snapshot's position, if
+// it has no era of its own.
+func (i Item) within(position sequencer.Position) Item {
+	i.Position = i.Position.InEra(position.Era)
+	return i
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/apricotd/syncer/syncer_test.go
+++ b/apricotd/syncer/syncer_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"io"
-	"sync"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,58 +13,59 @@
 
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
+	"apricotrudder.dev/apricotd/version/sequencer"
+	"apricotrudder.dev/standin/registrar"
 )
 
 type (
-	// fakeStore is a store of entries that have a key and no value.
+	// fakeStore is a store of entries that have a key and an empty value.
 	fakeStore struct {
-		mu       sync.Mutex
-		down     bool
-		revision uint64
-		items    []Item // changes, oldest first
+		registrar.Store
 	}
 
 	fakeDecoder struct{}
 )
 
-func (s *fakeStore) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
 func (s *fakeStore) change(id string, removed bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.items = append(s.items, Item{Key: id, Revision: s.revision, Removed: removed})
+	if removed {
+		s.Delete(id)
+		return
+	}
+	s.Put(id, nil)
 }
 
 // Read implements Store.
-func (s *fakeStore) Read(ctx context.Context) (*Snapshot, error) {
-	return s.Watch(ctx, 0, 0)
+func (s *fakeStore) Read(context.Context) (*Snapshot, error) {
+	answer, err := s.Store.Read(netip.Addr{})
+	if err != nil {
+		return nil, err
+	}
+	out := snapshotOf(answer)
+	out.Full = true
+	return out, nil
 }
 
 // Watch implements Store.
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*Snapshot, error) {
-	for end := time.Now().Add(wait); ; {
-		s.mu.Lock()
-		down, revision := s.down, s.revision
-		out := &Snapshot{Revision: revision, Full: after == 0}
-		for _, item := range s.items {
-			if item.Revision > after {
-				out.Servers = append(out.Servers, item)
-			}
-		}
-		s.mu.Unlock()
-		switch {
-		case down:
-			return nil, errors.New("store is down")
-		case revision > after || !time.Now().Before(end):
-			return out, nil
-		}
-		time.Sleep(10 * time.Millisecond)
+	answer, err := s.Store.Watch(ctx, netip.Addr{}, after, wait)
+	if errors.Is(err, registrar.ErrGone) {
+		return nil, ErrHistoryGone
+	}
+	if err != nil {
+		return nil, err
+	}
+	return snapshotOf(answer), nil
+}
+
+func snapshotOf(answer *registrar.Answer) *Snapshot {
+	out := &Snapshot{Position: sequencer.Position{Era: answer.Era, Revision: answer.Revision}}
+	for _, item := range answer.Items {
+		out.Servers = append(out.Servers, Item{
+			Key: item.Key, Value: item.Value, Removed: item.Deleted,
+			Position: sequencer.Position{Era: answer.Era, Revision: item.Revision},
+		})
 	}
+	return out
 }
 
 // Tables implements Decoder.
@@ -78,7 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		store := &fakeStore{}
+		store := &fakeStore{Store: registrar.Store{Latency: 4 * time.Millisecond}}
 		store.change("a", false)
 		store.change("b", false)
 		syncer := &Syncer{Store: store, Decoder: fakeDecoder{}, Log: log, OnChange: func() {}, IsReader: func() bool { return true }}
@@ -103,9 +104,9 @@
 // outage makes the store fail for the given time and returns once the store has
 // answered the syncer again.
 func outage(syncer *Syncer, s *fakeStore, length time.Duration) {
-	s.setDown(true)
+	s.SetAway(true)
 	time.Sleep(length)
-	s.setDown(false)
+	s.SetAway(false)
 	for !syncer.IsStoreAvailable() {
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -160,7 +161,7 @@
 func TestEntryExpiredInOutageHasGracePeriod(t *testing.T) {
 	runSyncer(t, func(syncer *Syncer, s *fakeStore) {
 		time.AfterFunc(1200*time.Millisecond, syncer.RecordPeerStoreAccess)
-		s.setDown(true)
+		s.SetAway(true)
 		time.Sleep(5 * time.Second)
 		s.change("a", true)
 		outage(syncer, s, 0)
@@ -180,11 +181,11 @@
 func TestGracePeriodIsSentToPeers(t *testing.T) {
 	runSyncer(t, func(syncer *Syncer, s *fakeStore) {
 		outage(syncer, s, 5*time.Second)
-		_, before := syncer.Versions()
+		before := syncer.Versions()
 		time.Sleep(2 * time.Second)
 		s.change("a", true)
 		time.Sleep(100 * time.Millisecond)
-		items := syncer.ChangesSince(0, before).Servers
+		items := syncer.ChangesSince(before).Servers
 		if len(items) != 1 || items[0].GraceLeft <= 0 || items[0].GraceLeft > 500*time.Millisecond {
 			t.Fatalf("items for a peer: got %+v, want one with at most 500ms of grace period left", items)
 		}
--- a/apricotd/version/lister/lister.go
+++ b/apricotd/version/lister/lister.go
@@ -10,6 +10,7 @@
 package lister
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -39,6 +40,11 @@
 		State   State
 		// ColdUntil is when the server has warmed up to full speed.
 		ColdUntil time.Time
+		// StartedAt is when the server started, by its own clock; zero if it does not
+		// state that.
+		StartedAt time.Time
+		// Sequence increases with each statement of the server since its start.
+		Sequence uint64
 	}
 
 	// A List is one revision of the platform's list.
@@ -52,6 +58,16 @@
 	}
 )
 
+// CompareStatement compares when two entries of one server were stated: it is
+// negative if s was stated before o, positive if after, and 0 if they are one
+// statement. ok is false if the entries do not tell.
+func (s *Server) CompareStatement(o *Server) (order int, ok bool) {
+	if s.StartedAt.IsZero() || o.StartedAt.IsZero() {
+		return 0, false
+	}
+	return cmp.Or(s.StartedAt.Compare(o.StartedAt), cmp.Compare(s.Sequence, o.Sequence)), true
+}
+
 // New returns the list of the given servers, whose ids must be unique.
 func New(revision uint64, servers []*Server) *List {
 	l := &List{
