A starting node takes the state of a peer before it serves

What callers saw: a node that was restarted right after the store came back from an older copy accepted a key that had been withdrawn, and sent requests to servers that had left.

Cause: a node was ready, and served, as soon as it had read the store. Its peers' newer tables followed 0.3 s later, and what they knew of servers that had left never, since both held the same revision.

Fix: a starting node asks one peer after the other for the complete state, with removed and overridden entries, and serves once it has it, once all peers that it knows are starting as well, or after 1 s. Peers' states from before the restoration count too.

--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -2,8 +2,8 @@
 // tables and a list of backend servers. Such fleets share nothing else: they
 // have no leases, claims or certificates.
 //
-// It guarantees the order of start and stop. A node reports that it is ready
-// once it has tables and a server list and has compared them with
+// It guarantees the order of start and stop. A node reports that it is ready, and
+// serves callers, once it has tables and a server list and has compared them with
 // those of a peer, or no peer has answered. A stopping node fails its readiness
 // check, accepts no new requests from peers after a grace period, serves callers
 // until they have had time to fail over, finishes the running requests, and only
@@ -135,6 +135,7 @@
 	proxier       *proxier.Proxier
 	readers       *readerSelector
 	fetcher       *fetcher
+	joiner        *joiner
 	vouching      vouchState
 	background    context.Context // cancelled after the drain
 }
@@ -155,6 +156,7 @@
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { n.syncer.Run(background) })
+	wg.Go(func() { n.join(background) })
 	wg.Go(func() { n.runProbe(background) })
 	wg.Go(func() { n.sendReaderHeartbeats(background) })
 	wg.Go(func() { n.reportDemand(background) })
@@ -203,6 +205,12 @@
 		List:      n.syncer.List,
 		PeerState: func(a netip.Addr) (linked, unresponsive bool) { return n.linker.PeerState(a) },
 	}
+	n.joiner = &joiner{
+		Self:       s.Listen.Links.Addr(),
+		IsLoaded:   n.isLoaded,
+		Candidates: func() []netip.Addr { return n.readers.firstCandidates(persistentPeersPerRegion) },
+		Request:    n.completeStateFrame,
+	}
 	n.fetcher = &fetcher{IsNewer: n.hasNewerState, Request: n.fetchFrame}
 	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID, Memory: n.memory, Dial: n.Dial}
 	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.localPool, List: n.syncer.List}
@@ -277,7 +285,7 @@
 		Names:     n.Names,
 		Self:      s.Listen.Links.Addr(),
 		LocalPool: n.localPool,
-		Resolver:  n.syncer.Resolver,
+		Resolver:  n.servingResolver,
 		List:      n.syncer.List,
 		Picker:    n.picker,
 		Budget: &retrylimiter.Limiter{
@@ -342,13 +350,13 @@
 }
 
 func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.syncer.Resolver() != nil && n.syncer.List() != nil
+	return !n.stopping.Load() && n.servingResolver() != nil && n.syncer.List() != nil
 }
 
 // shouldReadStore reports whether this node reads the store: until it has tables
 // and a server list, and while it is one of its region's readers.
 func (n *Node) shouldReadStore() bool {
-	return n.syncer.Resolver() == nil || n.syncer.List() == nil || n.readers.isReader()
+	return !n.isLoaded() || n.readers.isReader()
 }
 
 // onStateChange applies new tables or a new server list.
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -26,14 +26,15 @@
 func (n *Node) beat() *linkwire.Beat {
 	v := n.syncer.Versions()
 	return &linkwire.Beat{
-		Tables:  v.Tables,
-		Servers: v.Servers.Revision,
-		Era:     &v.Servers.Era,
-		Leaving: n.leaving.Load(),
-		Served:  n.readers.isReader() && n.syncer.IsStoreAvailable(),
-		Vouched: n.vouching.current(),
-		Region:  n.Settings.Region,
-		Notice:  n.announcedNotice(),
+		Tables:   v.Tables,
+		Servers:  v.Servers.Revision,
+		Era:      &v.Servers.Era,
+		Leaving:  n.leaving.Load(),
+		Served:   n.readers.isReader() && n.syncer.IsStoreAvailable(),
+		Vouched:  n.vouching.current(),
+		Region:   n.Settings.Region,
+		Notice:   n.announcedNotice(),
+		Starting: !n.joiner.joined.Load(),
 	}
 }
 
@@ -47,7 +48,9 @@
 	case *linkwire.Frame_Snapshot:
 		if err := n.applySnapshot(l, kind.Snapshot); err != nil {
 			n.Log.WithError(err).WithField("peer", l.Peer).Error("snapshot from peer rejected")
+			return
 		}
+		n.joiner.recordSnapshot(l.Peer, kind.Snapshot)
 	case *linkwire.Frame_Blame:
 		n.quarantine.Blame(kind.Blame.Fingerprints)
 	case *linkwire.Frame_Usage:
@@ -65,6 +68,7 @@
 	}
 	n.notices.Record(l.Peer, b.Notice)
 	n.readers.recordBeat(l.Peer, b.Region, b.Served)
+	n.joiner.recordBeat(l, b)
 	if b.Served {
 		n.syncer.RecordPeerStoreAccess()
 	}
