Send a restoration to other nodes as changes

A node remembers where the era before ended for it and sends what has changed since, to nodes that were not ahead of it there; the others get the complete list. Entries that the restoration did not change keep their position.

--- a/apricotd/mesher/restore_test.go
+++ b/apricotd/mesher/restore_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -199,6 +200,33 @@
 	})
 }
 
+// Guards against a restoration that makes every node fetch the complete list, which
+// is as long as the fleet is large.
+func TestRestorationIsSentAsChanges(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.publishServer("g", lister.Leaving)
+		time.Sleep(time.Second)
+		f.restore(5*time.Second, 300*time.Millisecond, nil)
+		time.Sleep(inForceWithin)
+		complete := 0
+		for name, m := range f.vms {
+			if got := m.node.syncer.Versions().Servers.Era; got != 1 {
+				t.Errorf("era on VM %s: got %d, want 1", name, got)
+			}
+			for line := range strings.Lines(m.log.String()) {
+				if strings.Contains(line, "server list updated") && strings.Contains(line, " era=1 ") && strings.Contains(line, "whole=true") {
+					complete++
+				}
+			}
+		}
+		if want := 2 * readersPerRegion; complete > want {
+			t.Errorf("complete lists received in the new era: got %d, want at most %d, one for each reader", complete, want)
+		}
+		f.checkState("g", lister.Leaving)
+	})
+}
+
 // withoutGoldKey are tables from which the key of the callers has been withdrawn.
 func withoutGoldKey(version uint64) *resolver.Tables {
 	t := baseTables(version)
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -112,6 +112,7 @@
 	state := n.syncer.ChangesSince(sequencer.Versions{Tables: f.Tables, Servers: position(f.Era, f.Servers)})
 	out := &linkwire.Snapshot{
 		Tables: deflate(state.Tables), Revision: state.Position.Revision, Era: &state.Position.Era, Whole: state.Full,
+		SinceRevision: state.Since.Revision, SinceEra: &state.Since.Era,
 	}
 	for _, item := range state.Servers {
 		out.Items = append(out.Items, &linkwire.Item{
@@ -127,7 +128,7 @@
 	if err != nil {
 		return fmt.Errorf("decompress tables: %w", err)
 	}
-	state := &syncer.Snapshot{Tables: tables, Position: position(s.Era, s.Revision), Full: s.Whole}
+	state := &syncer.Snapshot{Tables: tables, Position: position(s.Era, s.Revision), Since: position(s.SinceEra, s.SinceRevision), Full: s.Whole}
 	for _, item := range s.Items {
 		state.Servers = append(state.Servers, syncer.Item{
 			Key: item.Key, Value: item.Value, Position: position(item.Era, item.Revision), Removed: item.Gone,
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -48,6 +48,12 @@
 	overridden *Item
 }
 
+// eraBefore is what a node remembers of the era that it was in before.
+type eraBefore struct {
+	end                   sequencer.Position // last position held
+	removalsRetainedAfter sequencer.Position
+}
+
 func (e *entry) isUsable(now time.Time) bool {
 	return e.removedAt.IsZero() || e.isInGrace(now) || now.Sub(e.healthReportedAt) < healthReportTTL
 }
@@ -89,7 +95,7 @@
 			Error("state ignored; the rise of its era is not credible")
 		return false
 	case s.position.IsZero() || position.Era > s.position.Era:
-		if !snapshot.Full {
+		if !snapshot.Full && (s.position.IsZero() || snapshot.Since != s.position) {
 			return false
 		}
 		absentFor = s.enterEra(position, source)
@@ -110,7 +116,7 @@
 				s.merge(Item{Key: key, Position: position, Removed: true, GraceLeft: absentFor})
 			}
 		}
-		s.removalsRetainedAfter = position.Revision
+		s.removalsRetainedAfter = position
 	}
 	s.position = position
 	s.publish()
@@ -127,7 +133,8 @@
 	now := time.Now()
 	previous := s.position
 	s.position = sequencer.Position{Era: position.Era}
-	s.eraStart = position.Revision
+	s.eraStart, s.eraBefore = position.Revision, eraBefore{end: previous, removalsRetainedAfter: s.removalsRetainedAfter}
+	s.removalsRetainedAfter = position
 	s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
 	if previous.IsZero() {
 		return 0
@@ -184,8 +191,8 @@
 }
 
 // ChangesSince returns the changes after the given versions. It returns the full
-// list if they are of another era, if they have no server list, or if some of the
-// removals after them are no longer retained.
+// list if they have no server list, or if this node may not know all changes after
+// them.
 func (s *Syncer) ChangesSince(v sequencer.Versions) *Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -197,11 +204,11 @@
 	if !after.IsZero() && s.position.Compare(after) <= 0 {
 		return changes
 	}
-	changes.Position = s.position
-	changes.Full = after.Era != s.position.Era || after.Revision < s.removalsRetainedAfter || after.IsZero()
+	changes.Position, changes.Since = s.position, after
+	changes.Full = after.IsZero() || !s.hasChangesSince(after)
 	now := time.Now()
 	for _, e := range s.entries {
-		if !changes.Full && e.position.Compare(after) <= 0 {
+		if !changes.Full && e.position.Compare(after) <= 0 && (e.overridden == nil || after.Era == s.position.Era) {
 			continue
 		}
 		item := e.shown()
@@ -256,6 +263,15 @@
 	return false, false
 }
 
+// hasChangesSince reports whether this node knows all changes after a position, which
+// may be one of the era before. s.mu must be held.
+func (s *Syncer) hasChangesSince(p sequencer.Position) bool {
+	if p.Era == s.position.Era {
+		return p.Compare(s.removalsRetainedAfter) >= 0
+	}
+	return p.Era == s.eraBefore.end.Era && p.Compare(s.eraBefore.end) <= 0 && p.Compare(s.eraBefore.removalsRetainedAfter) >= 0
+}
+
 // merge merges one item into the entry of its key. s.position must have the
 // current era, and s.mu must be held.
 func (s *Syncer) merge(item Item) {
@@ -270,9 +286,9 @@
 		if order > 0 {
 			s.put(item)
 		}
-	case order > 0 && e.removedAt.IsZero() && !item.Removed && bytes.Equal(item.Value, e.item.Value):
-		e.position, e.overridden = item.Position, nil
-	case order > 0 && s.mayBeFromCopy(item) && e.isNewerThan(s.decode(item), now):
+	case order > 0 && e.overridden == nil && item.Removed == !e.removedAt.IsZero() && (item.Removed || bytes.Equal(item.Value, e.item.Value)):
+		// The restoration has not changed this entry.
+	case order > 0 && now.Before(s.overridesEnd) && s.mayBeFromCopy(item) && e.isNewerThan(s.decode(item), now):
 		e.overridden = &item
 	case order > 0:
 		s.put(item)
@@ -311,8 +327,11 @@
 		s.entries[item.Key] = s.newEntry(item)
 		return
 	}
-	e.position, e.overridden = item.Position, nil
-	if !e.removedAt.IsZero() {
+	isRemoved := !e.removedAt.IsZero()
+	if !isRemoved || e.overridden != nil || item.Position.Era == e.position.Era {
+		e.position, e.overridden = item.Position, nil
+	}
+	if isRemoved {
 		return
 	}
 	now := time.Now()
@@ -391,8 +410,12 @@
 		}
 		if !e.removedAt.IsZero() && now.Sub(e.removedAt) > tombstoneTTL && !e.isUsable(now) {
 			delete(s.entries, key)
-			if e.position.Era == s.position.Era {
-				s.removalsRetainedAfter = max(s.removalsRetainedAfter, e.position.Revision)
+			retainedAfter := &s.removalsRetainedAfter
+			if e.position.Era != s.position.Era {
+				retainedAfter = &s.eraBefore.removalsRetainedAfter
+			}
+			if e.position.Compare(*retainedAfter) > 0 {
+				*retainedAfter = e.position
 			}
 		}
 	}
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -94,6 +94,9 @@
 		Servers  []Item
 		Position sequencer.Position // zero if the snapshot does not cover servers
 		Full     bool               // Servers is the full list
+		// Since is the position after which Servers has the changes. It matters only if
+		// it is of another era.
+		Since sequencer.Position
 	}
 
 	// A Store publishes the state.
@@ -131,10 +134,12 @@
 		mu                    sync.Mutex
 		entries               map[string]*entry
 		position              sequencer.Position
-		eraStart              uint64    // revision at which this node entered the era
-		overridesEnd          time.Time // when entries of a restored store apply even if they look older
-		tablesActivatedAt     time.Time // when the active tables were activated
-		removalsRetainedAfter uint64    // all removals after this revision are retained
+		eraStart              uint64             // revision at which this node entered the era
+		overridesEnd          time.Time          // when entries of a restored store apply even if they look older
+		tablesActivatedAt     time.Time          // when the active tables were activated
+		removalsRetainedAfter sequencer.Position // all removals after it in its era are retained
+		eraBefore             eraBefore
+		eraMissing            bool      // the last answer of the store stated no era
 		lastAnswer            time.Time // when the store last answered
 		failingSince          time.Time // start of the current outage; zero if there is none
 		recoveredAt           time.Time // end of the last outage of the store
@@ -247,6 +252,7 @@
 	if err != nil {
 		return err
 	}
+	s.checkEra(changes)
 	changes.Position = changes.Position.InEra(position.Era)
 	if era := changes.Position.Era; era > position.Era {
 		return s.reread(ctx, position)
@@ -290,10 +296,24 @@
 		return fmt.Errorf("read store: %w", err)
 	}
 	s.recordSuccess()
+	s.checkEra(snapshot)
 	s.Apply(snapshot, sourceStore)
 	return nil
 }
 
+// checkEra logs that the store does not state an era, once until it does again. Such
+// an answer is taken to be of the current era, so a restoration is only noticed
+// with the next answer that states one.
+func (s *Syncer) checkEra(snapshot *Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isMissing := snapshot.Position.Era == sequencer.NoEra
+	if isMissing && !s.eraMissing {
+		s.Log.WithField("era", s.position.Era).Warn("store states no era; assuming the current one")
+	}
+	s.eraMissing = isMissing
+}
+
 // RecordPeerStoreAccess records that a peer has reported that it can reach the
 // store. In an outage this means that the store has recovered or that only some
 // nodes cannot reach it. Peers take up to maxAnswerAge to detect an outage, and
