Vouch again for a server that has registered again

What callers saw: 503 from the only server of a pool, whose VM was cut off from the store, although the server was healthy.

Cause: a node stops vouching for its server once the store has confirmed that the entry is gone, and remembered that for as long as the server ran.

The confirmation now ends when the store lists the server again.

--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -362,7 +362,9 @@
 // onStateChange applies new tables or a new server list.
 func (n *Node) onStateChange() {
 	if id, _, ok := n.identifier.Identity(); ok {
-		if listed, known := n.syncer.IsListed(id); known && !listed {
+		if listed, known := n.syncer.IsListed(id); listed {
+			n.vouching.markListed(id)
+		} else if known {
 			go n.vouch(n.background)
 		}
 	}
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -36,7 +36,7 @@
 	mu      sync.Mutex
 	id      string // vouched server; empty: none
 	running bool
-	gone    string // id of the last server that the store has confirmed as removed
+	gone    string // id of a server that the store has confirmed as removed
 }
 
 func (v *vouchState) current() string {
@@ -70,6 +70,15 @@
 	v.gone = id
 }
 
+// markListed records that the store lists the server.
+func (v *vouchState) markListed(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.gone == id {
+		v.gone = ""
+	}
+}
+
 func (v *vouchState) end() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/apricotd/mesher/state_test.go
+++ b/apricotd/mesher/state_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// Guards against a server that is no longer vouched for because the store had lost
+// its entry once before, although it has registered again since.
+func TestServerIsVouchedForAfterItRegisteredAgain(t *testing.T) {
+	runFleet(t, oneOrderServer, func(f *fleet) {
+		f.store.Delete("i-b")
+		time.Sleep(5 * time.Second)
+		f.publishServer("b", lister.Ready)
+		time.Sleep(time.Second)
+		f.store.SetRejected(f.vms["b"].address, true)
+		time.Sleep(3 * time.Second)
+		f.store.Delete("i-b")
+		time.Sleep(time.Second)
+		for range 5 {
+			if r := f.send("a", f.requestText("POST", "shop.example", "/order/1", "x")); r.status != 200 {
+				t.Errorf("send request: got %d, want 200 from the only server", r.status)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // A node that vouches for its backend server must withdraw the vouch as soon as
 // the store answers it and confirms that the entry was removed.
 func TestVouchIsWithdrawn(t *testing.T) {
