Keep what the store shows when a removal before a restoration is learned of late

A server that a peer of the older era reported as removed stayed unused for good, although its entry, which the restoration had not changed, did not expire.

--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -155,9 +155,7 @@
 	before := s.overriddenCount()
 	if time.Now().Before(s.overridesEnd) {
 		for _, item := range snapshot.Servers {
-			if s.entries[item.Key] != nil {
-				s.merge(item.within(position))
-			}
+			s.mergeEarlier(item.within(position))
 		}
 	}
 	overridden := s.overriddenCount()
@@ -171,6 +169,23 @@
 	return true
 }
 
+// mergeEarlier merges an item of an older position into a known entry. An entry that
+// the restoration has not changed goes on being shown by the store. s.mu must be
+// held.
+func (s *Syncer) mergeEarlier(item Item) {
+	e := s.entries[item.Key]
+	if e == nil {
+		return
+	}
+	isShown := e.removedAt.IsZero() && e.overridden == nil && e.position.Era < s.position.Era
+	shown, position := e.item, e.position
+	s.merge(item)
+	if e = s.entries[item.Key]; isShown && e.position != position {
+		shown.Position = sequencer.Position{Era: s.position.Era, Revision: s.eraStart}
+		e.overridden = &shown
+	}
+}
+
 func (s *Syncer) entryLifetime() time.Duration {
 	if s.EntryLifetime == 0 {
 		return defaultEntryLifetime
