--- a/apricotd/mesher/restore_test.go
+++ b/apricotd/mesher/restore_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"apricotrudder.dev/apricotd/version/lister"
@@ -215,6 +216,7 @@
 		time.Sleep(time.Second)
 		f.restore(5*time.Second, 300*time.Millisecond, nil)
 		time.Sleep(inForceWithin)
+		synctest.Wait()
 		complete := 0
 		for name, m := range f.vms {
 			if got := m.node.syncer.Versions().Servers.Era; got != 1 {
@@ -510,6 +512,7 @@
 }
 
 func (r *restoration) check() {
+	synctest.Wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
--- a/apricotd/syncer/syncer_test.go
+++ b/apricotd/syncer/syncer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +23,7 @@
 	// fakeStore is a store of entries that have a key and an empty value.
 	fakeStore struct {
 		registrar.Store
+		withoutHistory atomic.Bool // no watch finds its revision
 	}
 
 	fakeDecoder struct{}
@@ -47,6 +50,9 @@
 
 // Watch implements Store.
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*Snapshot, error) {
+	if s.withoutHistory.Load() {
+		after, wait = math.MaxUint64, 0
+	}
 	answer, err := s.Store.Watch(ctx, netip.Addr{}, after, wait)
 	if errors.Is(err, registrar.ErrGone) {
 		return nil, ErrHistoryGone
@@ -191,3 +197,41 @@
 		}
 	})
 }
+
+// Guards against a store being called in a loop if a full read does not lead to a
+// revision that can be watched.
+func TestStoreWithoutHistoryIsNotPolled(t *testing.T) {
+	runSyncer(t, func(syncer *Syncer, s *fakeStore) {
+		s.withoutHistory.Store(true)
+		time.Sleep(2 * time.Second)
+		before := s.Calls()
+		time.Sleep(10 * time.Second)
+		// A watch and a read for each half of retryInterval at the most.
+		if got, want := s.Calls()-before, 2*int(10*time.Second/(retryInterval/2)); got > want {
+			t.Errorf("store calls in 10 s: got %d, want at most %d", got, want)
+		}
+	})
+}
+
+// Guards against changes being sent to a node that knows more of the era before
+// than this one: it would keep entries that the restoration has lost.
+func TestNodeThatWasAheadGetsTheFullList(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	syncer := &Syncer{Decoder: fakeDecoder{}, Log: log, OnChange: func() {}}
+	at := func(era int64, revision uint64) sequencer.Position {
+		return sequencer.Position{Era: era, Revision: revision}
+	}
+	syncer.Apply(&Snapshot{Full: true, Position: at(1, 30), Servers: []Item{{Key: "a", Position: at(1, 9)}}}, "test")
+	syncer.Apply(&Snapshot{Full: true, Position: at(2, 10), Servers: []Item{{Key: "a", Position: at(2, 9)}}}, "test")
+	for _, c := range []struct {
+		held sequencer.Position
+		full bool
+	}{
+		{at(1, 30), false}, {at(1, 31), true}, {at(1, 29), true}, {at(0, 30), true}, {at(2, 9), true}, {sequencer.Position{}, true},
+	} {
+		if got := syncer.ChangesSince(sequencer.Versions{Servers: c.held}); got.Full != c.full || got.Position != at(2, 10) {
+			t.Errorf("list for a node at %v: got full %t at %v, want full %t at %v", c.held, got.Full, got.Position, c.full, at(2, 10))
+		}
+	}
+}
