--- a/standin/publisher/publisher.go
+++ b/standin/publisher/publisher.go
@@ -2,8 +2,8 @@
 //
 // It publishes folders of values. Clients can read and watch them, but not
 // write them. It counts every call, with a long poll as one call, and can
-// reproduce the failures of the real service: failed calls, stale responses and
-// slow responses.
+// reproduce the failures of the real service: failed calls, stale responses,
+// slow responses and a restoration from an older copy.
 //
 // # Usage
 //
@@ -120,6 +120,16 @@
 	}
 }
 
+// Restore brings a folder back from an older copy: its last n versions are lost, and
+// their numbers are given out again.
+func (p *Publisher) Restore(name string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := p.folder(name)
+	f.versions = f.versions[:max(0, len(f.versions)-n)]
+	f.notify()
+}
+
 // Slow delays every response by d.
 func (p *Publisher) Slow(d time.Duration) {
 	p.mu.Lock()
