--- a/apricotd/mesher/restore_test.go
+++ b/apricotd/mesher/restore_test.go
@@ -1,9 +1,14 @@
 package mesher
 
 import (
+	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -11,8 +16,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
+	"apricotrudder.dev/wire/linkwire"
 )
 
 const (
@@ -235,6 +244,62 @@
 	})
 }
 
+// addOlderPeer starts a peer whose program does not know eras. It announces the
+// given snapshot and sends it on request.
+func (f *fleet) addOlderPeer(snapshot *linkwire.Snapshot, tables uint64) {
+	address := netip.AddrFrom4([4]byte{10, 1, 1, 200})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := &linker.Linker{
+		Port:        linksPort,
+		Serve:       func(context.Context, *linkwire.Run) *linkwire.Result { return &linkwire.Result{} },
+		GrantTokens: func(*linkwire.Borrow) *linkwire.Grant { return &linkwire.Grant{} },
+		Beat: func() *linkwire.Beat {
+			return &linkwire.Beat{Tables: tables, Servers: snapshot.Revision, Region: "north"}
+		},
+		Receive: func(l *linker.Link, frame *linkwire.Frame) {
+			if frame.GetFetch() != nil {
+				l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Snapshot{Snapshot: snapshot}})
+			}
+		},
+		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			return f.network.Dial(ctx, address, to)
+		},
+		Log: log,
+	}
+	l.Start(f.t.Context())
+	for _, m := range f.vms {
+		l.Connect(m.address)
+	}
+}
+
+// Guards against changes being lost between nodes of two programs while a fleet is
+// updated: the older one states no era.
+func TestChangesFromPeerWithoutEra(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.restore(5*time.Second, time.Second, nil)
+		time.Sleep(inForceWithin)
+		f.store.SetAway(true)
+		held := f.vms["a"].node.syncer.Versions().Servers
+		value, err := json.Marshal(serverEntry{Server: lister.Server{ID: "i-g", Pool: "search", Region: "south", DataCentre: "south-2", State: lister.Leaving, Slots: 4, Address: f.vms["g"].worker.address}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		tables, err := json.Marshal(baseTables(2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.addOlderPeer(&linkwire.Snapshot{
+			Tables: deflate(tables), Revision: held.Revision + 1,
+			Items: []*linkwire.Item{{Key: "i-g", Value: value, Revision: held.Revision + 1}},
+		}, 2)
+		time.Sleep(inForceWithin)
+		f.checkVersion(2)
+		f.checkState("g", lister.Leaving)
+	})
+}
+
 // withoutGoldKey are tables from which the key of the callers has been withdrawn.
 func withoutGoldKey(version uint64) *resolver.Tables {
 	t := baseTables(version)
