A node that starts without the store waits for several peers

What callers saw: after a restart of a node that could not reach the store, a withdrawn key was accepted again, until a second peer was heard.

Cause: the node served with the state of the first peer that answered, which may have been cut off from all others for long.

Fix: without an answer of the store a starting node must have heard from three running peers, and in any case it must not be behind any of the peers that it has heard from. TestNodeStartedWithoutStoreAsksSeveralPeers failed before (200).

--- a/apricotd/mesher/joiner.go
+++ b/apricotd/mesher/joiner.go
@@ -21,6 +21,9 @@
 	joinCheckInterval = 20 * time.Millisecond
 	// maxJoinPeers bounds the peers that a starting node remembers to ask.
 	maxJoinPeers = 64
+	// minJoinPeers is the number of running peers that a starting node must hear from
+	// if the store does not answer it. A single one may have been cut off for long.
+	minJoinPeers = 3
 )
 
 // A joiner holds a starting node back until it has the state of a peer. The store
@@ -30,6 +33,10 @@
 	Self netip.Addr
 	// IsLoaded reports whether the node has tables and a server list.
 	IsLoaded func() bool
+	// HasStoreAnswered reports whether the store has answered this node.
+	HasStoreAnswered func() bool
+	// IsNewer reports whether a peer announces newer state than this node has.
+	IsNewer func(*linkwire.Beat) bool
 	// Candidates returns the nodes to which every node keeps links.
 	Candidates func() []netip.Addr
 	// Request returns the frame that requests the complete state.
@@ -37,10 +44,11 @@
 
 	joined atomic.Bool
 
-	mu       sync.Mutex
-	peers    []*linker.Link      // to ask, in the order of their heartbeats
-	starting map[netip.Addr]bool // peers that are starting themselves
-	isAsked  map[netip.Addr]bool
+	mu           sync.Mutex
+	peers        []*linker.Link                // to ask, in the order of their heartbeats
+	beats        map[netip.Addr]*linkwire.Beat // last one of each peer
+	isAsked      map[netip.Addr]bool
+	hasPeerState bool
 }
 
 // Run asks one peer after the other for its state. It returns once the node has
@@ -55,14 +63,15 @@
 			loadedAt = now
 		}
 		switch {
-		case j.joined.Load():
+		case !loadedAt.IsZero() && j.hasCurrentState():
+			j.joined.Store(true)
 			return "state of a peer received"
 		case !loadedAt.IsZero() && j.hasNoRunningPeer():
 			j.joined.Store(true)
 			return "all peers are starting"
 		case !loadedAt.IsZero() && now.Sub(loadedAt) > joinTimeout:
 			j.joined.Store(true)
-			return "no peer has answered"
+			return "peers have not answered in time"
 		}
 		if now.Sub(askedAt) > peerFetchTimeout && j.askNext() {
 			askedAt = now
@@ -82,11 +91,14 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.starting == nil {
-		j.starting, j.isAsked = make(map[netip.Addr]bool), make(map[netip.Addr]bool)
+	if j.beats == nil {
+		j.beats, j.isAsked = make(map[netip.Addr]*linkwire.Beat), make(map[netip.Addr]bool)
+	}
+	if j.beats[l.Peer] == nil && len(j.beats) >= maxJoinPeers {
+		return
 	}
-	j.starting[l.Peer] = b.Starting
-	if !b.Starting && b.Servers > 0 && !j.isAsked[l.Peer] && len(j.isAsked) < maxJoinPeers {
+	j.beats[l.Peer] = b
+	if !b.Starting && b.Servers > 0 && !j.isAsked[l.Peer] {
 		j.isAsked[l.Peer] = true
 		j.peers = append(j.peers, l)
 	}
@@ -99,9 +111,26 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if isStarting, known := j.starting[peer]; s.Whole && known && !isStarting && j.IsLoaded() {
-		j.joined.Store(true)
+	if b := j.beats[peer]; s.Whole && b != nil && !b.Starting {
+		j.hasPeerState = true
+	}
+}
+
+// hasCurrentState reports whether the node has the state of a running peer and no
+// peer has announced a newer one.
+func (j *joiner) hasCurrentState() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	running := 0
+	for _, b := range j.beats {
+		if j.IsNewer(b) {
+			return false
+		}
+		if !b.Starting {
+			running++
+		}
 	}
+	return j.hasPeerState && (running >= minJoinPeers || j.HasStoreAnswered())
 }
 
 // askNext asks the next peer that is still linked and reports whether there is one.
@@ -125,7 +154,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, a := range j.Candidates() {
-		if a != j.Self && !j.starting[a] {
+		if a != j.Self && !j.beats[a].GetStarting() {
 			return false
 		}
 	}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -208,8 +208,11 @@
 	n.joiner = &joiner{
 		Self:       s.Listen.Links.Addr(),
 		IsLoaded:   n.isLoaded,
+		IsNewer:    n.hasNewerState,
 		Candidates: func() []netip.Addr { return n.readers.firstCandidates(persistentPeersPerRegion) },
 		Request:    n.completeStateFrame,
+
+		HasStoreAnswered: n.syncer.HasStoreAnswered,
 	}
 	n.fetcher = &fetcher{IsNewer: n.hasNewerState, Request: n.fetchFrame}
 	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID, Memory: n.memory, Dial: n.Dial}
--- a/apricotd/mesher/restore_test.go
+++ b/apricotd/mesher/restore_test.go
@@ -348,6 +348,43 @@
 	})
 }
 
+// Guards against a node that starts without the store and takes the state of the
+// first peer, which may have been cut off for long: a withdrawn key was in use
+// again.
+func TestNodeStartedWithoutStoreAsksSeveralPeers(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		stale := f.vms["h"].address
+		f.isolate("h")
+		f.store.SetRejected(stale, true)
+		time.Sleep(time.Second)
+		f.store.publishTables(withoutGoldKey(2))
+		time.Sleep(inForceWithin)
+		for name, m := range f.vms {
+			f.store.SetRejected(m.address, true)
+			if name != "a" {
+				f.network.Cut(f.vms["a"].address, m.address)
+			}
+		}
+		go f.restartNode("a")
+		time.Sleep(time.Second)
+		f.network.Heal(f.vms["a"].address, stale)
+		time.AfterFunc(600*time.Millisecond, func() {
+			for name, m := range f.vms {
+				if name != "a" {
+					f.network.Heal(f.vms["a"].address, m.address)
+				}
+			}
+		})
+		for range 300 {
+			if r := f.trySend("a", f.getRequest("shop.example", "/search/x")); r.status == 200 {
+				f.t.Fatal("request with a withdrawn key: got 200, want 401 or 503")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.checkVersion(2, "h")
+	})
+}
+
 // A node that starts while it reaches no peer must rely on the store alone.
 func TestNodeStartedWithoutPeersBecomesReady(t *testing.T) {
 	runFleet(t, eightVMs, func(f *fleet) {
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -187,6 +187,13 @@
 	return s.failingSince.IsZero() && time.Since(s.lastAnswer) < maxAnswerAge
 }
 
+// HasStoreAnswered reports whether the store has ever answered this node.
+func (s *Syncer) HasStoreAnswered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lastAnswer.IsZero()
+}
+
 // TablesAge returns the time since this node activated its tables, or zero if
 // there are none.
 func (s *Syncer) TablesAge() time.Duration {
