--- /dev/null
+++ b/apricotd/syncer/restoration.go
@@ -0,0 +1,193 @@
+package syncer
+
+import (
+	"bytes"
+	"time"
+
+	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/apricotd/version/sequencer"
+)
+
+// This file merges the server list with what the store shows after it was restored
+// from an older copy. Entries that were written before the restoration may be older
+// than what is known here; then the known state overrides them, until the server
+// writes again or its entry would have expired if the server had ended.
+
+const (
+	// defaultEntryLifetime applies if Syncer.EntryLifetime is zero.
+	defaultEntryLifetime = 4500 * time.Millisecond
+	// overrideMargin is how long the removal of an entry may take to reach this node
+	// after the entry has expired. A peer's report that the store answers it may be
+	// maxAnswerAge old.
+	overrideMargin = maxAnswerAge + 500*time.Millisecond
+	// maxEraStep is the greatest credible rise of the era between two answers.
+	maxEraStep = 1000
+)
+
+// eraBefore is what a node remembers of the era that it was in before.
+type eraBefore struct {
+	end                   sequencer.Position // last position held
+	removalsRetainedAfter sequencer.Position
+}
+
+// isNewerThan reports whether the state of e is newer than an item that may come
+// from an older copy of the store. Servers number their statements; without
+// numbers, the state in which the server gets no requests is taken to be the newer
+// one. A removal in its grace period is not certain.
+func (e *entry) isNewerThan(shown *lister.Server, now time.Time) bool {
+	isRemoved := !e.removedAt.IsZero() && !e.isInGrace(now)
+	if e.server == nil || shown == nil {
+		return isRemoved
+	}
+	order, ok := e.server.CompareStatement(shown)
+	switch {
+	case !ok:
+		return isRemoved || e.server.State == lister.Leaving && shown.State == lister.Ready
+	case order == 0:
+		return isRemoved
+	}
+	return order > 0
+}
+
+// enterEra starts to count in the era of a position. What was written in that era
+// up to this position may be as old as the copy from which the store was restored.
+// It returns the time for which entries that the copy lacks may stay in use, since
+// their servers register again. s.mu must be held.
+func (s *Syncer) enterEra(position sequencer.Position, source string) time.Duration {
+	now := time.Now()
+	previous := s.position
+	s.position = sequencer.Position{Era: position.Era}
+	s.eraStart, s.eraBefore = position.Revision, eraBefore{end: previous, removalsRetainedAfter: s.removalsRetainedAfter}
+	s.removalsRetainedAfter = position
+	s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
+	if previous.IsZero() {
+		return 0
+	}
+	s.Log.WithField("era", position.Era).WithField("revision", position.Revision).WithField("previousEra", previous.Era).
+		WithField("previousRevision", previous.Revision).WithField("source", source).Warn("store was restored from a copy; keeping what is newer here")
+	if now.Sub(s.outageEnd) > recoveryGrace {
+		return recoveryGrace // this node has not noticed the outage
+	}
+	return max(0, s.recoveredAt.Add(recoveryGrace).Sub(now))
+}
+
+// applyEarlier merges what a peer knows from before the position of this node, as
+// far as it concerns entries that may come from an older copy of the store. A node
+// that starts right after a restoration learns of servers that have left in this
+// way. s.mu must be held.
+func (s *Syncer) applyEarlier(snapshot *Snapshot, position sequencer.Position, source string) bool {
+	before := s.overriddenCount()
+	if time.Now().Before(s.overridesEnd) {
+		for _, item := range snapshot.Servers {
+			s.mergeEarlier(item.within(position))
+		}
+	}
+	overridden := s.overriddenCount()
+	s.Log.WithField("source", source).WithField("era", position.Era).WithField("revision", position.Revision).
+		WithField("heldEra", s.position.Era).WithField("heldRevision", s.position.Revision).WithField("overridden", overridden).
+		Info("older server list received")
+	if overridden == before {
+		return false
+	}
+	s.publish()
+	return true
+}
+
+// mergeEarlier merges an item of an older position into a known entry. An entry that
+// the restoration has not changed goes on being shown by the store. s.mu must be
+// held.
+func (s *Syncer) mergeEarlier(item Item) {
+	e := s.entries[item.Key]
+	if e == nil {
+		return
+	}
+	isShown := e.removedAt.IsZero() && e.overridden == nil && e.position.Era < s.position.Era
+	shown, position := e.item, e.position
+	s.merge(item)
+	if e = s.entries[item.Key]; isShown && e.position != position {
+		shown.Position = sequencer.Position{Era: s.position.Era, Revision: s.eraStart}
+		e.overridden = &shown
+	}
+}
+
+func (s *Syncer) entryLifetime() time.Duration {
+	if s.EntryLifetime == 0 {
+		return defaultEntryLifetime
+	}
+	return s.EntryLifetime
+}
+
+// overriddenCount returns the number of entries whose state here is newer than the
+// one that the store shows. s.mu must be held.
+func (s *Syncer) overriddenCount() int {
+	n := 0
+	for _, e := range s.entries {
+		if e.overridden != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// merge merges one item into the entry of its key. s.position must have the
+// current era, and s.mu must be held.
+func (s *Syncer) merge(item Item) {
+	e := s.entries[item.Key]
+	if e == nil {
+		s.put(item)
+		return
+	}
+	now := time.Now()
+	switch order := item.Position.Compare(e.position); {
+	case item.Position.Era == e.position.Era:
+		if order > 0 {
+			s.put(item)
+		}
+	case order < 0:
+		s.mergeOlder(e, item, now)
+	case e.overridden == nil && e.isUnchangedBy(item):
+		// The position stays, so that peers are not sent what they have.
+	case s.mayBeFromCopy(item, now) && e.isNewerThan(s.decode(item), now):
+		e.overridden = &item
+	default:
+		s.put(item)
+	}
+}
+
+// mergeOlder merges an item that was written before the restoration into an entry
+// that may have been, too. s.mu must be held.
+func (s *Syncer) mergeOlder(e *entry, item Item, now time.Time) {
+	shown := e.shown()
+	if e.overridden != nil || !e.removedAt.IsZero() || !s.mayBeFromCopy(shown, now) {
+		return
+	}
+	if older := s.newEntry(item); older.isNewerThan(e.server, now) {
+		older.overridden = &shown
+		s.entries[item.Key] = older
+	}
+}
+
+// isUnchangedBy reports whether an item says the same as the entry.
+func (e *entry) isUnchangedBy(item Item) bool {
+	if item.Removed || !e.removedAt.IsZero() {
+		return item.Removed && !e.removedAt.IsZero()
+	}
+	return bytes.Equal(item.Value, e.item.Value)
+}
+
+// mayBeFromCopy reports whether an item of the current era may have been written
+// before the store was restored. s.mu must be held.
+func (s *Syncer) mayBeFromCopy(item Item, now time.Time) bool {
+	return !item.Removed && item.Position.Era == s.position.Era && item.Position.Revision <= s.eraStart && now.Before(s.overridesEnd)
+}
+
+// haveOverridesEnded reports whether the entries of servers that have ended would
+// have expired by now, and this node would know. s.mu must be held.
+func (s *Syncer) haveOverridesEnded(now time.Time) bool {
+	if now.Sub(s.lastAccess) >= maxAnswerAge {
+		// Entries cannot expire in an outage.
+		s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
+	}
+	// Without an answer since then, this node may have missed the removal.
+	return s.lastAccess.After(s.overridesEnd)
+}
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -1,7 +1,6 @@
 package syncer
 
 import (
-	"bytes"
 	"context"
 	"net/netip"
 	"time"
@@ -22,14 +21,6 @@
 	// changes, for health reports about its server, and for copies of the store that
 	// still contain the entry.
 	tombstoneTTL = 2 * time.Minute
-	// defaultEntryLifetime applies if Syncer.EntryLifetime is zero.
-	defaultEntryLifetime = 4500 * time.Millisecond
-	// overrideMargin is how long the removal of an entry may take to reach this node
-	// after the entry has expired. A peer's report that the store answers it may be
-	// maxAnswerAge old.
-	overrideMargin = maxAnswerAge + 500*time.Millisecond
-	// maxEraStep is the greatest credible rise of the era between two answers.
-	maxEraStep = 1000
 	// sweepInterval is how often entries are checked for expiry.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -49,35 +40,17 @@
 	overridden *Item
 }
 
-// eraBefore is what a node remembers of the era that it was in before.
-type eraBefore struct {
-	end                   sequencer.Position // last position held
-	removalsRetainedAfter sequencer.Position
-}
-
 func (e *entry) isUsable(now time.Time) bool {
 	return e.removedAt.IsZero() || e.isInGrace(now) || now.Sub(e.healthReportedAt) < healthReportTTL
 }
 
 func (e *entry) isInGrace(now time.Time) bool { return now.Before(e.graceEnd) }
 
-// isNewerThan reports whether the state of e is newer than an item that may come
-// from an older copy of the store. Servers number their statements; without
-// numbers, the state in which the server gets no requests is taken to be the newer
-// one. A removal in its grace period is not certain.
-func (e *entry) isNewerThan(shown *lister.Server, now time.Time) bool {
-	isRemoved := !e.removedAt.IsZero() && !e.isInGrace(now)
-	if e.server == nil || shown == nil {
-		return isRemoved
-	}
-	order, ok := e.server.CompareStatement(shown)
-	switch {
-	case !ok:
-		return isRemoved || e.server.State == lister.Leaving && shown.State == lister.Ready
-	case order == 0:
-		return isRemoved
-	}
-	return order > 0
+// shown returns the last statement of the server with the position of the entry.
+func (e *entry) shown() Item {
+	item := e.item
+	item.Position = e.position
+	return item
 }
 
 // applyServers merges the server entries of a snapshot and publishes a new list.
@@ -126,86 +99,6 @@
 	return true
 }
 
-// enterEra starts to count in the era of a position. What was written in that era
-// up to this position may be as old as the copy from which the store was restored.
-// It returns the time for which entries that the copy lacks may stay in use, since
-// their servers register again. s.mu must be held.
-func (s *Syncer) enterEra(position sequencer.Position, source string) time.Duration {
-	now := time.Now()
-	previous := s.position
-	s.position = sequencer.Position{Era: position.Era}
-	s.eraStart, s.eraBefore = position.Revision, eraBefore{end: previous, removalsRetainedAfter: s.removalsRetainedAfter}
-	s.removalsRetainedAfter = position
-	s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
-	if previous.IsZero() {
-		return 0
-	}
-	s.Log.WithField("era", position.Era).WithField("revision", position.Revision).WithField("previousEra", previous.Era).
-		WithField("previousRevision", previous.Revision).WithField("source", source).Warn("store was restored from a copy; keeping what is newer here")
-	if now.Sub(s.outageEnd) > recoveryGrace {
-		return recoveryGrace // this node has not noticed the outage
-	}
-	return max(0, s.recoveredAt.Add(recoveryGrace).Sub(now))
-}
-
-// applyEarlier merges what a peer knows from before the position of this node, as
-// far as it concerns entries that may come from an older copy of the store. A node
-// that starts right after a restoration learns of servers that have left in this
-// way. s.mu must be held.
-func (s *Syncer) applyEarlier(snapshot *Snapshot, position sequencer.Position, source string) bool {
-	before := s.overriddenCount()
-	if time.Now().Before(s.overridesEnd) {
-		for _, item := range snapshot.Servers {
-			s.mergeEarlier(item.within(position))
-		}
-	}
-	overridden := s.overriddenCount()
-	s.Log.WithField("source", source).WithField("era", position.Era).WithField("revision", position.Revision).
-		WithField("heldEra", s.position.Era).WithField("heldRevision", s.position.Revision).WithField("overridden", overridden).
-		Info("older server list received")
-	if overridden == before {
-		return false
-	}
-	s.publish()
-	return true
-}
-
-// mergeEarlier merges an item of an older position into a known entry. An entry that
-// the restoration has not changed goes on being shown by the store. s.mu must be
-// held.
-func (s *Syncer) mergeEarlier(item Item) {
-	e := s.entries[item.Key]
-	if e == nil {
-		return
-	}
-	isShown := e.removedAt.IsZero() && e.overridden == nil && e.position.Era < s.position.Era
-	shown, position := e.item, e.position
-	s.merge(item)
-	if e = s.entries[item.Key]; isShown && e.position != position {
-		shown.Position = sequencer.Position{Era: s.position.Era, Revision: s.eraStart}
-		e.overridden = &shown
-	}
-}
-
-func (s *Syncer) entryLifetime() time.Duration {
-	if s.EntryLifetime == 0 {
-		return defaultEntryLifetime
-	}
-	return s.EntryLifetime
-}
-
-// overriddenCount returns the number of entries whose state here is newer than the
-// one that the store shows. s.mu must be held.
-func (s *Syncer) overriddenCount() int {
-	n := 0
-	for _, e := range s.entries {
-		if e.overridden != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // ChangesSince returns the changes after the given versions. It returns the full
 // list if they have no server list, or if this node may not know all changes after
 // them.
@@ -288,49 +181,6 @@
 	return p.Era == s.eraBefore.end.Era && p.Compare(s.eraBefore.end) <= 0 && p.Compare(s.eraBefore.removalsRetainedAfter) >= 0
 }
 
-// merge merges one item into the entry of its key. s.position must have the
-// current era, and s.mu must be held.
-func (s *Syncer) merge(item Item) {
-	e := s.entries[item.Key]
-	if e == nil {
-		s.put(item)
-		return
-	}
-	now := time.Now()
-	switch order := item.Position.Compare(e.position); {
-	case item.Position.Era == e.position.Era:
-		if order > 0 {
-			s.put(item)
-		}
-	case order > 0 && e.overridden == nil && item.Removed == !e.removedAt.IsZero() && (item.Removed || bytes.Equal(item.Value, e.item.Value)):
-		// The restoration has not changed this entry.
-	case order > 0 && now.Before(s.overridesEnd) && s.mayBeFromCopy(item) && e.isNewerThan(s.decode(item), now):
-		e.overridden = &item
-	case order > 0:
-		s.put(item)
-	case now.Before(s.overridesEnd) && e.overridden == nil && e.removedAt.IsZero() && s.mayBeFromCopy(e.shown()):
-		earlier := s.newEntry(item)
-		if earlier.isNewerThan(e.server, now) {
-			shown := e.shown()
-			earlier.overridden = &shown
-			s.entries[item.Key] = earlier
-		}
-	}
-}
-
-// shown returns the last statement of the server with the position of the entry.
-func (e *entry) shown() Item {
-	item := e.item
-	item.Position = e.position
-	return item
-}
-
-// mayBeFromCopy reports whether an item of the current era may have been written
-// before the store was restored. s.mu must be held.
-func (s *Syncer) mayBeFromCopy(item Item) bool {
-	return !item.Removed && item.Position.Era == s.position.Era && item.Position.Revision <= s.eraStart
-}
-
 // put replaces the entry of an item's key. A removal keeps the server's last
 // statement; its grace period ends with the one that a peer has sent or with
 // recoveryGrace after the last outage, whichever is later. s.mu must be held.
@@ -411,12 +261,7 @@
 func (s *Syncer) sweepOnce(now time.Time) {
 	s.mu.Lock()
 	var expired, shown []string
-	if !s.isStoreAccessible(now) {
-		// Entries of servers that have ended cannot expire in an outage.
-		s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
-	}
-	// Without an answer since then, this node may have missed the removal.
-	overridesEnded := s.lastAccess.After(s.overridesEnd)
+	overridesEnded := s.haveOverridesEnded(now)
 	for key, e := range s.entries {
 		if e.overridden != nil && overridesEnded {
 			shown = append(shown, key)
@@ -451,9 +296,3 @@
 		s.OnChange()
 	}
 }
-
-// isStoreAccessible reports whether the store has lately answered this node or a
-// peer that reads it. s.mu must be held.
-func (s *Syncer) isStoreAccessible(now time.Time) bool {
-	return now.Sub(s.lastAccess) < maxAnswerAge
-}
