End overrides only on the word of a reader at the same position

The first report that the store answers came from a peer that had entered the next era; this node took it for proof that the entries of the era it was in had not expired. A report, or an answer, counts now only if this node has all that its sender has.

--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -70,7 +70,7 @@
 	n.readers.recordBeat(l.Peer, b.Region, b.Served)
 	n.joiner.recordBeat(l, b)
 	if b.Served {
-		n.syncer.RecordPeerStoreAccess()
+		n.syncer.RecordPeerStoreAccess(position(b.Era, b.Servers))
 	}
 	if b.Leaving {
 		n.picker.MarkLeaving(l.Peer)
--- a/apricotd/syncer/merge_test.go
+++ b/apricotd/syncer/merge_test.go
@@ -141,9 +141,15 @@
 		}
 		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			if fields[0] == "wait" {
-				m.syncer.RecordPeerStoreAccess()
+				m.syncer.RecordPeerStoreAccess(m.syncer.Versions().Servers)
 			}
 		}
+	case "peer":
+		var position sequencer.Position
+		if _, err := fmt.Sscanf(fields[1], "%d.%d", &position.Era, &position.Revision); err != nil {
+			m.t.Fatalf("parse %q: %v", line, err)
+		}
+		m.syncer.RecordPeerStoreAccess(position)
 	case "want":
 		keys := make([]string, 0, len(fields))
 		for _, field := range fields[3:] {
@@ -154,7 +160,7 @@
 			m.t.Errorf("state: got %q, want %q", got, want)
 		}
 	default:
-		m.t.Fatalf("got line %q, want full, changes, wait, outage or want", line)
+		m.t.Fatalf("got line %q, want full, changes, wait, outage, peer or want", line)
 	}
 }
 
--- a/apricotd/syncer/restoration.go
+++ b/apricotd/syncer/restoration.go
@@ -184,10 +184,21 @@
 // haveOverridesEnded reports whether the entries of servers that have ended would
 // have expired by now, and this node would know. s.mu must be held.
 func (s *Syncer) haveOverridesEnded(now time.Time) bool {
-	if now.Sub(s.lastAccess) >= maxAnswerAge {
+	if now.Sub(s.currentAt) >= maxAnswerAge {
 		// Entries cannot expire in an outage.
 		s.overridesEnd = now.Add(s.entryLifetime() + overrideMargin)
 	}
 	// Without an answer since then, this node may have missed the removal.
-	return s.lastAccess.After(s.overridesEnd)
+	return s.currentAt.After(s.overridesEnd)
+}
+
+// recordCurrent records that the store, or a peer that reads it, is at a position. An
+// answer from a position that this node has not reached proves nothing about the
+// removals that it knows.
+func (s *Syncer) recordCurrent(position sequencer.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if position = position.InEra(s.position.Era); position.Era == s.position.Era && position.Compare(s.position) <= 0 {
+		s.currentAt = time.Now()
+	}
 }
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -144,7 +144,7 @@
 		failingSince          time.Time // start of the current outage; zero if there is none
 		recoveredAt           time.Time // end of the last outage of the store
 		outageEnd             time.Time // when this node noticed that end
-		lastAccess            time.Time // when the store last answered this node or a reader
+		currentAt             time.Time // when this node last knew all that the store showed
 		// peerAnsweredAt is when a peer first reported during an outage that it
 		// can reach the store.
 		peerAnsweredAt time.Time
@@ -267,6 +267,7 @@
 		return errors.Errorf("watch store: got an answer of era %d, want era %d or later", era, position.Era)
 	}
 	s.Apply(changes, sourceStore)
+	s.recordCurrent(changes.Position)
 	return nil
 }
 
@@ -305,6 +306,7 @@
 	s.recordSuccess()
 	s.checkEra(snapshot)
 	s.Apply(snapshot, sourceStore)
+	s.recordCurrent(snapshot.Position)
 	return nil
 }
 
@@ -321,19 +323,19 @@
 	s.eraMissing = isMissing
 }
 
-// RecordPeerStoreAccess records that a peer has reported that it can reach the
-// store. In an outage this means that the store has recovered or that only some
+// RecordPeerStoreAccess records that a peer at a position has reported that it can
+// reach the store. In an outage this means that the store has recovered or that only some
 // nodes cannot reach it. Peers take up to maxAnswerAge to detect an outage, and
 // their heartbeats up to maxHeartbeatDelay to arrive, so reports are ignored for
 // that long after the start of the outage.
-func (s *Syncer) RecordPeerStoreAccess() {
+func (s *Syncer) RecordPeerStoreAccess(position sequencer.Position) {
+	s.recordCurrent(position)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastAccess = time.Now()
 	if s.failingSince.IsZero() || !s.peerAnsweredAt.IsZero() || time.Since(s.failingSince) <= maxAnswerAge+maxHeartbeatDelay {
 		return
 	}
-	s.peerAnsweredAt = s.lastAccess
+	s.peerAnsweredAt = time.Now()
 }
 
 // recordSuccess records an answer and ends the current outage. recoveryGrace counts
@@ -353,7 +355,7 @@
 		s.Log.WithField("failedForMs", now.Sub(s.failingSince).Milliseconds()).Info("store is available again")
 		s.failingSince = time.Time{}
 	}
-	s.lastAnswer, s.lastAccess = now, now
+	s.lastAnswer = now
 }
 
 func (s *Syncer) recordFailure(err error) {
--- a/apricotd/syncer/syncer_test.go
+++ b/apricotd/syncer/syncer_test.go
@@ -147,7 +147,7 @@
 				case <-stop:
 					return
 				case <-time.After(400 * time.Millisecond):
-					syncer.RecordPeerStoreAccess()
+					syncer.RecordPeerStoreAccess(syncer.Versions().Servers)
 				}
 			}
 		}()
@@ -166,7 +166,7 @@
 // can have detected it, being taken for the end of the outage.
 func TestEntryExpiredInOutageHasGracePeriod(t *testing.T) {
 	runSyncer(t, func(syncer *Syncer, s *fakeStore) {
-		time.AfterFunc(1200*time.Millisecond, syncer.RecordPeerStoreAccess)
+		time.AfterFunc(1200*time.Millisecond, func() { syncer.RecordPeerStoreAccess(syncer.Versions().Servers) })
 		s.SetAway(true)
 		time.Sleep(5 * time.Second)
 		s.change("a", true)
