parser: do not copy a body of a stated length to see its end

The first buffer was exactly as long as the body, so each response, request and frame with a length was copied once into a larger buffer before its end was seen.

--- a/apricotd/internal/connection/parser/parser.go
+++ b/apricotd/internal/connection/parser/parser.go
@@ -240,9 +240,10 @@
 }
 
 // readLimited reads to the end of r. expected is the probable length. The buffer
-// grows with the data that has arrived.
+// grows with the data that has arrived; it has a spare byte, so that a body of the
+// expected length does not make it grow before its end is seen.
 func readLimited(r io.Reader, limit, expected int64, memory Memory) ([]byte, error) {
-	body := make([]byte, 0, min(max(expected, minBufferBytes), unreservedBytes))
+	body := make([]byte, 0, min(max(expected+1, minBufferBytes), unreservedBytes))
 	reserved := 0
 	defer func() {
 		if reserved > 0 {
--- a/apricotd/internal/connection/parser/parser_test.go
+++ b/apricotd/internal/connection/parser/parser_test.go
@@ -125,3 +125,23 @@
 		t.Errorf("fields passed on: got %v, want X-End only", got)
 	}
 }
+
+// Guards against a body of a stated length being copied into a larger buffer, only
+// to see its end.
+func TestBodyOfStatedLengthIsReadIntoOneBuffer(t *testing.T) {
+	const length = 10_000
+	body := make([]byte, length)
+	source := bytes.NewReader(body)
+	br := bufio.NewReader(source)
+	allocations := testing.AllocsPerRun(100, func() {
+		source.Reset(body)
+		br.Reset(source)
+		if _, err := ReadBody(br, Framing{Kind: FixedLength, Length: length}, length, nil); err != nil {
+			t.Fatal(err)
+		}
+	})
+	// The buffer and the reader that ends with the body.
+	if allocations > 2 {
+		t.Errorf("allocations for one body: got %v, want at most 2", allocations)
+	}
+}
