Determine the identity of the backend server once for each check

check, isLeaving and Identifier.Listed each looked it up again, up to three times before a request was sent. It is passed down now.

--- a/apricotd/internal/process/identifier/identifier.go
+++ b/apricotd/internal/process/identifier/identifier.go
@@ -65,12 +65,11 @@
 	return i.reported != ""
 }
 
-// Listed returns the entry for the server's current id on the list. isListed
-// reports whether there is one, and everListed whether there is or was one.
-func (i *Identifier) Listed() (s *lister.Server, isListed, everListed bool) {
-	id, _, ok := i.Identity()
+// Listed returns the entry for an id that Identity has returned. isListed reports
+// whether there is one, and everListed whether there is or was one.
+func (i *Identifier) Listed(id string) (s *lister.Server, isListed, everListed bool) {
 	list := i.List()
-	if !ok || list == nil {
+	if id == "" || list == nil {
 		return nil, false, false
 	}
 	s, isListed = list.Server(id)
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -144,11 +144,12 @@
 // Load returns the load of the server and of the queue in front of it.
 func (i *Invoker) Load() *linkwire.Load {
 	running, _ := i.Admitter.Load()
+	id, _, _ := i.Identifier.Identity()
 	return &linkwire.Load{
 		Running:   uint32(running),
 		Waiting:   uint32(i.waiting.Load()),
 		Slots:     uint32(i.limit.Load()),
-		Leaving:   i.isLeaving(),
+		Leaving:   i.isLeaving(id),
 		ServiceMs: float64(i.meanServiceTime.Load()) / float64(time.Millisecond),
 
 		Notice:          i.Noticer.Message(),
@@ -255,28 +256,26 @@
 
 // check refuses a request that must not be sent to the server now.
 func (i *Invoker) check(run *linkwire.Run) *linkwire.Result {
-	_, pool, ok := i.Identifier.Identity()
+	id, pool, ok := i.Identifier.Identity()
 	switch {
 	case !ok:
 		return refusalResult(Unreachable, "the backend server is not known", unreachableRetryAfter)
 	case pool != run.Pool:
 		return refusalResult(WrongPool, fmt.Sprintf("got a request for pool %s, want %s", run.Pool, pool), 0)
-	case i.isLeaving():
+	case i.isLeaving(id):
 		return refusalResult(Leaving, "the backend server takes nothing new", 0)
 	}
 	return nil
 }
 
-// isLeaving reports whether the server accepts no new requests: its node is
-// stopping, it says so itself, or its entry says so or has been removed.
-func (i *Invoker) isLeaving() bool {
-	if i.leaving.Load() {
-		return true
-	}
-	if id, _, _ := i.Identifier.Identity(); i.Noticer.Notice(id).Leaving {
+// isLeaving reports whether the server with the current id accepts no new
+// requests: its node is stopping, it says so itself, or its entry says so or has
+// been removed.
+func (i *Invoker) isLeaving(id string) bool {
+	if i.leaving.Load() || i.Noticer.Notice(id).Leaving {
 		return true
 	}
-	s, listed, wasListed := i.Identifier.Listed()
+	s, listed, wasListed := i.Identifier.Listed(id)
 	if !listed {
 		return wasListed
 	}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -364,14 +364,15 @@
 
 // onStateChange applies new tables or a new server list.
 func (n *Node) onStateChange() {
-	if id, _, ok := n.identifier.Identity(); ok {
+	id, _, ok := n.identifier.Identity()
+	if ok {
 		if listed, known := n.syncer.IsListed(id); listed {
 			n.vouching.markListed(id)
 		} else if known {
 			go n.vouch(n.background)
 		}
 	}
-	if s, ok, _ := n.identifier.Listed(); ok && s.Slots > 0 {
+	if s, ok, _ := n.identifier.Listed(id); ok && s.Slots > 0 {
 		n.invoker.SetSlots(s.Slots)
 	}
 	if list := n.syncer.List(); list != nil {
