--- a/apricotd/internal/connection/linker/linker_test.go
+++ b/apricotd/internal/connection/linker/linker_test.go
@@ -24,6 +24,24 @@
 
 const testPort = 3
 
+// Addresses of two linkers.
+var (
+	a = netip.MustParseAddr("10.1.0.1")
+	b = netip.MustParseAddr("10.2.0.1")
+)
+
+// runNetwork runs a test on a network in a synctest bubble. After the test it ends
+// ctx and lets goroutines that wait for a deadline reach it.
+func runNetwork(t *testing.T, test func(ctx context.Context, t *testing.T, network *connector.Connector)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Minute)
+		defer cancel()
+		test(ctx, t, &connector.Connector{})
+	})
+}
+
 // start runs a linker at address self until ctx is done.
 func start(ctx context.Context, t *testing.T, network *connector.Connector, self netip.Addr, receive func(*Link, *linkwire.Frame)) *Linker {
 	t.Helper()
@@ -57,10 +75,8 @@
 // to the peer. The bucket owners of two regions did not receive each other's
 // demand reports, and each granted most of the rate.
 func TestSendToPeerWithoutLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		network := &connector.Connector{Latency: func(netip.Addr, netip.Addr) time.Duration { return 12 * time.Millisecond }}
-		a, b := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.2.0.1")
+	runNetwork(t, func(ctx context.Context, t *testing.T, network *connector.Connector) {
+		network.Latency = func(netip.Addr, netip.Addr) time.Duration { return 12 * time.Millisecond }
 		got := make(chan *linkwire.Usage, 1)
 		sender := start(ctx, t, network, a, func(*Link, *linkwire.Frame) {})
 		start(ctx, t, network, b, func(_ *Link, f *linkwire.Frame) {
@@ -77,8 +93,6 @@
 		case <-time.After(time.Second):
 			t.Error("frame to a peer without a link: not received within 1 s")
 		}
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -115,10 +129,7 @@
 // Guards against peers that occupy memory or a connection with frames that do not
 // end: many large ones at once, and one that arrives a byte at a time.
 func TestEndlessFrames(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		network := &connector.Connector{}
-		a := netip.MustParseAddr("10.1.0.1")
+	runNetwork(t, func(ctx context.Context, t *testing.T, network *connector.Connector) {
 		l := start(ctx, t, network, a, func(*Link, *linkwire.Frame) {})
 		memory := &reserver.Reserver{Limit: 1 << 20}
 		l.Memory = memory
@@ -150,17 +161,12 @@
 		if n, _ := memory.Reserved(); n != 0 {
 			t.Errorf("memory reserved at the end: got %d bytes, want 0", n)
 		}
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
 // Guards against one frame that cannot be encoded failing all exchanges on its link.
 func TestUnencodableFrameFailsOnlyItsExchange(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		network := &connector.Connector{}
-		a, b := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.2.0.1")
+	runNetwork(t, func(ctx context.Context, t *testing.T, network *connector.Connector) {
 		sender := start(ctx, t, network, a, func(*Link, *linkwire.Frame) {})
 		receiver := start(ctx, t, network, b, func(*Link, *linkwire.Frame) {})
 		receiver.Serve = func(context.Context, *linkwire.Run) *linkwire.Result {
@@ -181,8 +187,6 @@
 		if err := <-done; err != nil {
 			t.Errorf("other exchange on the link: got %v, want no error", err)
 		}
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -199,18 +203,13 @@
 		}}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				network := &connector.Connector{}
-				a := netip.MustParseAddr("10.1.0.1")
+			runNetwork(t, func(ctx context.Context, t *testing.T, network *connector.Connector) {
 				start(ctx, t, network, a, func(*Link, *linkwire.Frame) { t.Error("got the frame passed on, want it dropped") })
 				nc := rawPeer(t, network, a)
 				writeFrameTo(t, nc, frame)
 				if took, _ := writeUntilClosed(nc, nil, 10*time.Millisecond); took > time.Second {
 					t.Errorf("link closed after %v, want at once", took)
 				}
-				cancel()
-				time.Sleep(time.Minute)
 			})
 		})
 	}
@@ -219,10 +218,7 @@
 // Guards against a reply of another kind than the exchange expects: a Result for a
 // Borrow ended the process.
 func TestReplyOfOtherKindFailsTheExchange(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		network := &connector.Connector{}
-		a, b := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.2.0.1")
+	runNetwork(t, func(ctx context.Context, t *testing.T, network *connector.Connector) {
 		l := start(ctx, t, network, a, func(*Link, *linkwire.Frame) {})
 		listener, err := network.Listen(netip.AddrPortFrom(b, testPort))
 		if err != nil {
@@ -246,18 +242,13 @@
 		if result, err := l.Exchange(ctx, b, &linkwire.Run{}); result != nil || err == nil || errors.As(err, &unsent) {
 			t.Errorf("run that was answered with a grant: got %v, %v, want an error that does not say unsent", result, err)
 		}
-		cancel()
 		_ = listener.Close()
-		time.Sleep(time.Minute)
 	})
 }
 
 // Guards against a panic while one request is served that takes the process down.
 func TestPanicFailsOnlyItsExchange(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		network := &connector.Connector{}
-		a, b := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.2.0.1")
+	runNetwork(t, func(ctx context.Context, t *testing.T, network *connector.Connector) {
 		sender := start(ctx, t, network, a, func(*Link, *linkwire.Frame) {})
 		receiver := start(ctx, t, network, b, func(*Link, *linkwire.Frame) {})
 		receiver.Serve = func(_ context.Context, run *linkwire.Run) *linkwire.Result {
@@ -280,8 +271,6 @@
 		if got := (<-done).GetAnswer().GetStatus(); got != 200 {
 			t.Errorf("other exchange on the link: got status %d, want 200", got)
 		}
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
