One loop for what nodes do at regular intervals

Package repeater serves all of them. Loops that begin with a call, that are woken otherwise or that return something stay as they are.

--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -34,6 +34,7 @@
 	"golang.org/x/sys/unix"
 
 	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -416,18 +417,11 @@
 
 // checkLinks periodically checks all links for silent peers.
 func (l *Linker) checkLinks() {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-l.ctx.Done():
-			return
-		case now := <-ticker.C:
-			for _, link := range l.allLinks() {
-				link.checkSilence(now)
-			}
+	repeater.Run(l.ctx, checkInterval, func(now time.Time) {
+		for _, link := range l.allLinks() {
+			link.checkSilence(now)
 		}
-	}
+	})
 }
 
 func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
--- a/apricotd/internal/process/estimator/estimator.go
+++ b/apricotd/internal/process/estimator/estimator.go
@@ -23,6 +23,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 )
 
 const (
@@ -121,16 +123,7 @@
 
 // Run updates the estimate until the context ends.
 func (e *Estimator) Run(ctx context.Context) {
-	ticker := time.NewTicker(sampleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.Step(sampleInterval)
-		}
-	}
+	repeater.Run(ctx, sampleInterval, func(time.Time) { e.Step(sampleInterval) })
 }
 
 // Step updates the estimate, given the time since the last step.
--- a/apricotd/internal/process/spreader/spreader.go
+++ b/apricotd/internal/process/spreader/spreader.go
@@ -35,6 +35,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"apricotrudder.dev/apricotd/internal/process/auditor"
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/version/checker"
 	"apricotrudder.dev/apricotd/version/locator"
@@ -234,14 +235,7 @@
 // monitor detects pauses of the process and records when freshness is lost and
 // restored.
 func (s *Spreader) monitor(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Run(ctx, tickInterval, func(time.Time) {
 		s.mu.Lock()
 		if gap := s.lastTick.Age(); gap > pauseThreshold {
 			// Messages delivered right after the pause may be as old as the
@@ -264,7 +258,7 @@
 		if acceptKeysChanged {
 			s.recordFreshness(f)
 		}
-	}
+	})
 }
 
 func (s *Spreader) recordFreshness(f Freshness) {
--- a/apricotd/mesher/loadlog.go
+++ b/apricotd/mesher/loadlog.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 )
 
 const loadLogInterval = time.Second
@@ -13,15 +15,8 @@
 // route, the estimated overload of the pools that it leads to. The lines show why
 // requests were queued or rejected.
 func (n *Node) logLoad(ctx context.Context) {
-	ticker := time.NewTicker(loadLogInterval)
-	defer ticker.Stop()
 	sentBefore := int64(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Run(ctx, loadLogInterval, func(time.Time) {
 		load := n.invoker.Load()
 		sent := n.invoker.SentCount()
 		server, notice := n.noticer.Current()
@@ -40,5 +35,5 @@
 			fields["rateLimit"] = notice.Rate
 		}
 		n.Log.WithFields(fields).Info("load estimates")
-	}
+	})
 }
--- a/apricotd/mesher/notices.go
+++ b/apricotd/mesher/notices.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -29,17 +30,10 @@
 
 // refreshNotices periodically asks the nodes of leaving servers for their notice.
 func (n *Node) refreshNotices(ctx context.Context) {
-	ticker := time.NewTicker(noticeRefreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Run(ctx, noticeRefreshInterval, func(time.Time) {
 		list := n.syncer.List()
 		if list == nil {
-			continue
+			return
 		}
 		for _, node := range n.notices.LeavingNodes(list) {
 			if node == n.Settings.Listen.Links.Addr() {
@@ -50,5 +44,5 @@
 			beat.Reply = true
 			n.linker.SendFrame(node, &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: beat}})
 		}
-	}
+	})
 }
--- a/apricotd/mesher/readers.go
+++ b/apricotd/mesher/readers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
 )
@@ -165,14 +166,7 @@
 // sendReaderHeartbeats sends heartbeats to the region while this node reads the
 // store. It also reopens lost links to the persistent peers.
 func (n *Node) sendReaderHeartbeats(ctx context.Context) {
-	ticker := time.NewTicker(readerHeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Run(ctx, readerHeartbeatInterval, func(time.Time) {
 		n.connectPersistentPeers()
 		if n.readers.isReader() {
 			beat := n.beat()
@@ -180,7 +174,7 @@
 				return &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: beat}}
 			}, n.inLocalRegion)
 		}
-	}
+	})
 }
 
 // announceState tells the nodes of this region which versions this node has. A
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/connection/linker"
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 	"apricotrudder.dev/apricotd/syncer"
 	"apricotrudder.dev/apricotd/version/sequencer"
 	"apricotrudder.dev/wire/linkwire"
@@ -167,18 +168,11 @@
 // reportDemand periodically sends this region's demand to the nodes in other
 // regions that keep the rate-limit buckets of the same organisations.
 func (n *Node) reportDemand(ctx context.Context) {
-	ticker := time.NewTicker(demandInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, report := range n.policer.UsageReports() {
-				n.linker.SendFrame(report.Recipient, &linkwire.Frame{Kind: &linkwire.Frame_Usage{Usage: report.Usage}})
-			}
+	repeater.Run(ctx, demandInterval, func(time.Time) {
+		for _, report := range n.policer.UsageReports() {
+			n.linker.SendFrame(report.Recipient, &linkwire.Frame{Kind: &linkwire.Frame_Usage{Usage: report.Usage}})
 		}
-	}
+	})
 }
 
 // inLocalRegion reports whether a node is in this node's region.
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -1,7 +1,6 @@
 package syncer
 
 import (
-	"context"
 	"net/netip"
 	"time"
 
@@ -245,20 +244,7 @@
 
 // sweep drops servers whose grace period and health report have expired, ends
 // overrides, and deletes old tombstones.
-func (s *Syncer) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			s.sweepOnce(now)
-		}
-	}
-}
-
-func (s *Syncer) sweepOnce(now time.Time) {
+func (s *Syncer) sweep(now time.Time) {
 	s.mu.Lock()
 	var expired, shown []string
 	overridesEnded := s.haveOverridesEnded(now)
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -34,6 +34,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"apricotrudder.dev/apricotd/internal/process/repeater"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
 	"apricotrudder.dev/apricotd/version/sequencer"
@@ -219,7 +220,7 @@
 // Run reads and watches the store while this node is a reader. It returns when
 // the context is done.
 func (s *Syncer) Run(ctx context.Context) {
-	go s.sweep(ctx)
+	go repeater.Run(ctx, sweepInterval, s.sweep)
 	for ctx.Err() == nil {
 		if !s.IsReader() {
 			sleep(ctx, roleCheckInterval)
