joiner: ask peers through a fetcher

The joiner had written again how a fetcher asks one announcer after the other: a queue, the peers already asked, a time since the last request. It passes running peers to a fetcher of its own now, so the first is asked at once instead of at the next check, up to 20 ms later, and the latest to announce goes first.

--- a/apricotd/mesher/fetcher.go
+++ b/apricotd/mesher/fetcher.go
@@ -18,11 +18,11 @@
 )
 
 type (
-	// A fetcher requests newer state from the peers that announce it. It asks
-	// one peer at a time, since many peers announce the same change at once.
+	// A fetcher requests state from the peers that announce it. It asks one peer at
+	// a time, since many peers announce the same change at once.
 	// Its exported fields must be set before use.
 	fetcher struct {
-		// IsNewer reports whether a peer announces newer state than this node has.
+		// IsNewer reports whether a peer announces state that this node still needs.
 		IsNewer func(*linkwire.Beat) bool
 		// Request returns the frame that requests the missing state.
 		Request func() *linkwire.Frame
--- a/apricotd/mesher/joiner.go
+++ b/apricotd/mesher/joiner.go
@@ -19,7 +19,7 @@
 	joinTimeout = time.Second
 	// joinCheckInterval is how often a starting node checks whether it may join.
 	joinCheckInterval = 20 * time.Millisecond
-	// maxJoinPeers bounds the peers that a starting node remembers to ask.
+	// maxJoinPeers bounds the peers that a starting node takes into account.
 	maxJoinPeers = 64
 	// minJoinPeers is the number of running peers that a starting node must hear from
 	// if the store does not answer it. A single one may have been cut off for long.
@@ -39,24 +39,23 @@
 	IsNewer func(*linkwire.Beat) bool
 	// Candidates returns the nodes to which every node keeps links.
 	Candidates func() []netip.Addr
-	// Request returns the frame that requests the complete state.
-	Request func() *linkwire.Frame
+	// Fetch requests the complete state from the peers that have been passed to it,
+	// one after the other.
+	Fetch func(*linker.Link, *linkwire.Beat)
 
 	joined atomic.Bool
 
 	mu           sync.Mutex
-	peers        []*linker.Link                // to ask, in the order of their heartbeats
 	beats        map[netip.Addr]*linkwire.Beat // last one of each peer
-	isAsked      map[netip.Addr]bool
 	hasPeerState bool
 }
 
-// Run asks one peer after the other for its state. It returns once the node has
-// joined, with the reason, or an empty one if ctx is done first.
+// Run returns once the node has joined, with the reason, or an empty one if ctx is
+// done first.
 func (j *joiner) Run(ctx context.Context) (reason string) {
 	ticker := time.NewTicker(joinCheckInterval)
 	defer ticker.Stop()
-	var loadedAt, askedAt time.Time
+	var loadedAt time.Time
 	for {
 		now := time.Now()
 		if loadedAt.IsZero() && j.IsLoaded() {
@@ -73,9 +72,6 @@
 			j.joined.Store(true)
 			return "peers have not answered in time"
 		}
-		if now.Sub(askedAt) > peerFetchTimeout && j.askNext() {
-			askedAt = now
-		}
 		select {
 		case <-ctx.Done():
 			return ""
@@ -92,18 +88,23 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.beats == nil {
-		j.beats, j.isAsked = make(map[netip.Addr]*linkwire.Beat), make(map[netip.Addr]bool)
+		j.beats = make(map[netip.Addr]*linkwire.Beat)
 	}
-	if j.beats[l.Peer] == nil && len(j.beats) >= maxJoinPeers {
+	previous := j.beats[l.Peer]
+	if previous == nil && len(j.beats) >= maxJoinPeers {
 		return
 	}
 	j.beats[l.Peer] = b
-	if !b.Starting && b.Servers > 0 && !j.isAsked[l.Peer] {
-		j.isAsked[l.Peer] = true
-		j.peers = append(j.peers, l)
+	if hasState(b) && !hasState(previous) {
+		j.Fetch(l, b)
 	}
 }
 
+// hasState reports whether a heartbeat is from a running peer with a server list.
+func hasState(b *linkwire.Beat) bool {
+	return b.GetServers() > 0 && !b.GetStarting()
+}
+
 // recordSnapshot records that a snapshot of a peer has been applied.
 func (j *joiner) recordSnapshot(peer netip.Addr, s *linkwire.Snapshot) {
 	if j.joined.Load() {
@@ -133,21 +134,6 @@
 	return j.hasPeerState && (running >= minJoinPeers || j.HasStoreAnswered())
 }
 
-// askNext asks the next peer that is still linked and reports whether there is one.
-func (j *joiner) askNext() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for len(j.peers) > 0 {
-		link := j.peers[0]
-		j.peers = j.peers[1:]
-		if !link.IsClosed() {
-			link.Send(j.Request())
-			return true
-		}
-	}
-	return false
-}
-
 // hasNoRunningPeer reports whether all other candidates have announced that they
 // are starting.
 func (j *joiner) hasNoRunningPeer() bool {
--- a/apricotd/mesher/joiner_test.go
+++ b/apricotd/mesher/joiner_test.go
@@ -16,7 +16,7 @@
 		IsLoaded:         func() bool { return true },
 		HasStoreAnswered: func() bool { return true },
 		IsNewer:          func(b *linkwire.Beat) bool { return b.Tables > held },
-		Request:          func() *linkwire.Frame { return &linkwire.Frame{} },
+		Fetch:            func(*linker.Link, *linkwire.Beat) {},
 	}
 	first := &linker.Link{Peer: netip.MustParseAddr("10.0.0.1")}
 	second := &linker.Link{Peer: netip.MustParseAddr("10.0.0.2")}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -191,12 +191,11 @@
 	n.SetPool(s.Pool)
 	n.memory = &reserver.Reserver{Limit: receiveMemory(s.Limits.MemoryMB)}
 	n.syncer = &syncer.Syncer{
-		Store:    n.Store,
-		Decoder:  n.Decoder,
-		Log:      n.Log,
-		OnChange: n.onStateChange,
-		IsReader: n.shouldReadStore,
-
+		Store:         n.Store,
+		Decoder:       n.Decoder,
+		Log:           n.Log,
+		OnChange:      n.onStateChange,
+		IsReader:      n.shouldReadStore,
 		EntryLifetime: missedHeartbeats * time.Duration(s.Store.Heartbeat),
 	}
 	n.readers = &readerSelector{
@@ -206,14 +205,14 @@
 		PeerState: func(a netip.Addr) (linked, unresponsive bool) { return n.linker.PeerState(a) },
 	}
 	n.joiner = &joiner{
-		Self:       s.Listen.Links.Addr(),
-		IsLoaded:   n.isLoaded,
-		IsNewer:    n.hasNewerState,
-		Candidates: func() []netip.Addr { return n.readers.firstCandidates(persistentPeersPerRegion) },
-		Request:    n.completeStateFrame,
-
+		Self:             s.Listen.Links.Addr(),
+		IsLoaded:         n.isLoaded,
+		IsNewer:          n.hasNewerState,
+		Candidates:       func() []netip.Addr { return n.readers.firstCandidates(persistentPeersPerRegion) },
 		HasStoreAnswered: n.syncer.HasStoreAnswered,
 	}
+	complete := &fetcher{IsNewer: func(*linkwire.Beat) bool { return !n.joiner.joined.Load() }, Request: n.completeStateFrame}
+	n.joiner.Fetch = func(l *linker.Link, b *linkwire.Beat) { complete.addAnnouncement(l, b, 0) }
 	n.fetcher = &fetcher{IsNewer: n.hasNewerState, Request: n.fetchFrame}
 	n.exchanger = &exchanger.Exchanger{Address: s.Backend.Address, IDField: n.Names.RequestID, Memory: n.memory, Dial: n.Dial}
 	n.identifier = &identifier.Identifier{Address: s.Backend.Address, Pool: n.localPool, List: n.syncer.List}
