--- a/apricotd/syncer/restoration.go
+++ b/apricotd/syncer/restoration.go
@@ -144,7 +144,7 @@
 			s.put(item)
 		}
 	case order < 0:
-		s.mergeOlder(e, item, now)
+		s.overrideWith(item, e, now)
 	case e.overridden == nil && e.isUnchangedBy(item):
 		// The position stays, so that peers are not sent what they have.
 	case s.mayBeFromCopy(item, now) && e.isNewerThan(s.decode(item), now):
@@ -154,16 +154,16 @@
 	}
 }
 
-// mergeOlder merges an item that was written before the restoration into an entry
-// that may have been, too. s.mu must be held.
-func (s *Syncer) mergeOlder(e *entry, item Item, now time.Time) {
+// overrideWith lets an item from before the restoration override an entry that may
+// be older, because it may come from the copy. s.mu must be held.
+func (s *Syncer) overrideWith(item Item, e *entry, now time.Time) {
 	shown := e.shown()
 	if e.overridden != nil || !e.removedAt.IsZero() || !s.mayBeFromCopy(shown, now) {
 		return
 	}
-	if older := s.newEntry(item); older.isNewerThan(e.server, now) {
-		older.overridden = &shown
-		s.entries[item.Key] = older
+	if known := s.newEntry(item); known.isNewerThan(e.server, now) {
+		known.overridden = &shown
+		s.entries[item.Key] = known
 	}
 }
 
