Send no request twice with one id on a connection to the backend server

What callers saw: 'not run, try again' for a request that the backend server was running, or a second run of it elsewhere. A server that writes an earlier refusal once more on a kept connection is told from others by the id that it echoes, but a request that was sent again to the same server (after a 421 that states another id, or to the next server at the address) has the id of the refused copy.

Evidence: TestRepeatedRefusalIsNotTheNextResponse failed for all refusals with an id when the same request followed. It also failed for health checks, which have no id, once more than four other requests had been answered on the connection, since only the last four ids were kept.

Why this works: a connection keeps the hashes of the ids of all its calls, at most 1,024, and is not used for a call with an id that it has carried. A copy of an earlier response then always has another id than the call.

--- a/apricotd/internal/connection/exchanger/conn.go
+++ b/apricotd/internal/connection/exchanger/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"slices"
 	"strconv"
@@ -31,7 +32,7 @@
 		call        *Call
 		result      chan callResult
 		requestSent bool     // the request has been written completely
-		answered    []string // ids of the last calls that were answered
+		carried     []uint64 // hashes of the ids of all calls
 		closed      bool
 	}
 
@@ -46,6 +47,8 @@
 	errUnsolicited = errors.New("backend server sent bytes that belong to no request")
 	errBusy        = errors.New("connection is closed or in use")
 	errDiscarded   = errors.New("connection discarded")
+
+	hashSeed = maphash.MakeSeed()
 )
 
 func newConn(nc net.Conn, idField string, memory parser.Memory) *conn {
@@ -61,6 +64,7 @@
 		return nil, errBusy
 	}
 	c.call = call
+	c.carried = append(c.carried, hashOf(call.ID))
 	c.result = make(chan callResult, 1)
 	c.requestSent = false
 	return c.result, nil
@@ -109,16 +113,13 @@
 // readResponse reads the response to the call. It skips responses that carry
 // the id of another request.
 func (c *conn) readResponse(call *Call) (callResult, error) {
-	c.mu.Lock()
-	answered := c.answered
-	c.mu.Unlock()
 	for range maxMismatchedResponses {
 		response, body, receivedAt, err := c.readMessage(call.Method)
 		if err != nil {
 			return callResult{}, err
 		}
 		id := response.Fields.Get(c.idField)
-		if isForOther(call, id, answered) {
+		if c.isForOther(call, id) {
 			if id == "" || !response.KeepAlive {
 				return callResult{}, errors.Errorf("got an answer with id %q, want %q", id, call.ID)
 			}
@@ -135,13 +136,24 @@
 
 // isForOther reports whether a response with an id belongs to another request than
 // call. A call without an id accepts any response but a late one to an earlier call.
-func isForOther(call *Call, id string, answered []string) bool {
+func (c *conn) isForOther(call *Call, id string) bool {
 	if call.ID != "" {
 		return id != call.ID
 	}
-	return id != "" && slices.Contains(answered, id)
+	return id != "" && c.hasCarried(id)
+}
+
+// hasCarried reports whether the connection has carried a call with an id. It must
+// not carry another one: a late copy of the response to the first could not be told
+// from the response to the second.
+func (c *conn) hasCarried(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.carried, hashOf(id))
 }
 
+func hashOf(id string) uint64 { return maphash.String(hashSeed, id) }
+
 // readMessage reads one final response and returns when its head arrived. It
 // skips interim (1xx) responses.
 func (c *conn) readMessage(method string) (response *parser.Response, body []byte, receivedAt time.Time, err error) {
@@ -172,12 +184,9 @@
 func (c *conn) deliver(got callResult) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.br.Buffered() > 0 || !c.requestSent || c.closed {
+	if c.br.Buffered() > 0 || !c.requestSent || c.closed || len(c.carried) >= maxCallsPerConn {
 		got.reusable = false
 	}
-	if c.call != nil && c.call.ID != "" {
-		c.answered = append(c.answered[max(0, len(c.answered)-maxAnswered+1):], c.call.ID)
-	}
 	c.call = nil
 	c.result <- got
 	return got.reusable
--- a/apricotd/internal/connection/exchanger/exchanger.go
+++ b/apricotd/internal/connection/exchanger/exchanger.go
@@ -25,6 +25,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,9 +55,8 @@
 	// maxMismatchedResponses is the number of responses read for one call, all
 	// with the id of another request, after which the connection is closed.
 	maxMismatchedResponses = 8
-	// maxAnswered is the number of answered calls of which a connection keeps the
-	// ids, to detect late copies of their responses.
-	maxAnswered = 4
+	// maxCallsPerConn bounds the calls of which a connection keeps the ids.
+	maxCallsPerConn = 1024
 	// maxInterimResponses is the number of interim (1xx) responses before a final
 	// one, after which the connection is closed.
 	maxInterimResponses = 32
@@ -126,7 +126,7 @@
 // Do sends a request and waits for the response. If the context ends first, Do
 // closes the connection so that the backend server can cancel the request.
 func (e *Exchanger) Do(ctx context.Context, call *Call) Outcome {
-	c, err := e.getConn(ctx, call.Idempotent)
+	c, err := e.getConn(ctx, call)
 	if err != nil {
 		return NotSent{Err: err}
 	}
@@ -179,8 +179,8 @@
 	}
 }
 
-func (e *Exchanger) getConn(ctx context.Context, idempotent bool) (*conn, error) {
-	if c := e.getIdleConn(idempotent); c != nil {
+func (e *Exchanger) getConn(ctx context.Context, call *Call) (*conn, error) {
+	if c := e.getIdleConn(call); c != nil {
 		return c, nil
 	}
 	dial := e.Dial
@@ -196,26 +196,28 @@
 	return c, nil
 }
 
-func (e *Exchanger) getIdleConn(idempotent bool) *conn {
+// getIdleConn removes and returns the most recently used connection that may carry
+// the call, or nil if there is none.
+func (e *Exchanger) getIdleConn(call *Call) *conn {
 	maxIdle := maxIdleTimeNonIdempotent
-	if idempotent {
+	if call.Idempotent {
 		maxIdle = maxIdleTime
 	}
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.idle) > 0 {
-		c := e.idle[len(e.idle)-1]
-		if !c.isUsable() {
-			e.idle = e.idle[:len(e.idle)-1]
-			continue
-		}
-		if now.Sub(c.idleSince) > min(maxIdle, c.idleLimit) {
+	for n := len(e.idle) - 1; n >= 0; n-- {
+		c := e.idle[n]
+		switch {
+		case !c.isUsable():
+			e.idle = slices.Delete(e.idle, n, n+1)
+		case now.Sub(c.idleSince) > min(maxIdle, c.idleLimit):
 			e.closeExpired(now)
 			return nil
+		case !c.hasCarried(call.ID):
+			e.idle = slices.Delete(e.idle, n, n+1)
+			return c
 		}
-		e.idle = e.idle[:len(e.idle)-1]
-		return c
 	}
 	return nil
 }
