Believe 'not run' only of responses that do not contradict it

What callers saw: a second run of a request that must not be repeated, or 503, 429 or 408 for one that had run.

Cause: any response with the field that states 'not run' counted as a refusal, whatever its status and even with the receipt of a run; and 408, 429 and 503 without receipt and without that field were passed on as if they were the server's own failures.

Why this works: the statement counts only with a failure status and without a receipt, and a status that promises 'not run' is passed on only with a receipt or the statement.

--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -54,6 +54,7 @@
 	Expired     = "expired"     // the deadline passed
 	Cancelled   = "cancelled"   // the caller disconnected
 	Lost        = "lost"        // the connection failed before the whole answer arrived
+	Unclear     = "unclear"     // the answer does not tell whether the request has run
 	Quarantined = "quarantined" // the request crashes servers
 )
 
@@ -328,9 +329,15 @@
 		return markArrived(refusalResult(Shed, "another backend server has the address", unreachableRetryAfter)), idChanged
 	}
 	i.Noticer.Observe(id, response.Fields, sentAt, response.ReceivedAt)
-	if response.Fields.Get(i.Names.NotRun) != "" {
+	hasReceipt, statesNotRun := response.Fields.Get(i.Names.Receipt) != "", response.Fields.Get(i.Names.NotRun) != ""
+	switch {
+	case statesNotRun && !hasReceipt && response.Status >= http.StatusBadRequest:
 		wait := max(minShedRetryAfter, retryAfter(response.Fields))
 		return markArrived(refusalResult(Shed, fmt.Sprintf("the backend server answered %d", response.Status), wait)), false
+	case statesNotRun:
+		return unclearResult(fmt.Sprintf("the backend server answered %d and states that it has not run the request, receipt: %v", response.Status, hasReceipt)), false
+	case !hasReceipt && promisesNotRun(response.Status):
+		return unclearResult(fmt.Sprintf("the backend server answered %d and does not state whether it has run the request", response.Status)), false
 	}
 	return &linkwire.Result{Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{
 		Status: uint32(response.Status),
@@ -403,17 +410,35 @@
 }
 
 func lostResult(ctx context.Context, err error) *linkwire.Result {
-	reason := Lost
 	if ctx.Err() != nil {
-		reason = ContextReason(ctx)
+		return unknownResult(ContextReason(ctx), err.Error())
 	}
+	return unknownResult(Lost, err.Error())
+}
+
+// unclearResult is the result of a request whose response does not tell whether it
+// has run.
+func unclearResult(detail string) *linkwire.Result { return unknownResult(Unclear, detail) }
+
+// unknownResult is the result of a request that may have run.
+func unknownResult(reason, detail string) *linkwire.Result {
 	return &linkwire.Result{Outcome: &linkwire.Result_Refusal{Refusal: &linkwire.Refusal{
 		Reason:  reason,
 		Arrived: true,
-		Detail:  strings.ToValidUTF8(err.Error(), "?"),
+		Detail:  strings.ToValidUTF8(detail, "?"),
 	}}}
 }
 
+// promisesNotRun reports whether callers take a status for the statement that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // ContextReason returns Expired if the deadline of an ended context passed,
 // else Cancelled.
 func ContextReason(ctx context.Context) string {
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -224,7 +224,7 @@
 		return picker.Full
 	case invoker.Shed:
 		return picker.Shed
-	case invoker.Lost, linker.ReasonInternal:
+	case invoker.Lost, invoker.Unclear, linker.ReasonInternal:
 		return picker.Failed
 	case invoker.Unreachable, invoker.WrongPool:
 		return picker.Unreachable
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -27,6 +27,7 @@
 	endlessHead             // sends header fields until the connection is closed
 	endlessBody             // sends a body until the connection is closed
 	staleResponse           // sends the previous response again before the current one
+	scriptedResponse        // sends the scripted response
 )
 
 type (
@@ -68,7 +69,12 @@
 		shedRatio    float64 // fraction of requests rejected at random; needs a queueLimit
 		maxBusy      int
 		lastResponse string // for staleResponse
-		listener     net.Listener
+		scripted     struct {
+			status string
+			fields string // header lines
+			runs   bool   // the request is run first
+		}
+		listener net.Listener
 	}
 
 	requestRun struct {
@@ -117,6 +123,16 @@
 	w.fault = injected
 }
 
+// setScripted makes the worker respond to each request with a status and header
+// lines, after it has run the request or without running it.
+func (w *worker) setScripted(status string, fields []string, runs bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = scriptedResponse
+	w.scripted.status, w.scripted.runs = status, runs
+	w.scripted.fields = strings.Join(fields, "\r\n") + "\r\n"
+}
+
 func (w *worker) runs() []requestRun {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -177,6 +193,13 @@
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\n%sNotrun: 1\r\nContent-Length: 0\r\n\r\n", head)
 		return err == nil
 	}
+	if injected == scriptedResponse {
+		if w.scripted.runs {
+			w.execute(r, disconnected)
+		}
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 %s Scripted\r\n%s%sContent-Length: 0\r\n\r\n", w.scripted.status, head, w.scripted.fields)
+		return err == nil
+	}
 	if !w.acquireSlot(disconnected) {
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\n%sNotrun: 1\r\nContent-Length: 0\r\n\r\n", head)
 		return err == nil
