Close a link on which an answer has no status of a final response

What callers would see: a status line with status 0 and the body framed as whole.

Cause: a Result frame with an empty answer passed the check of frames.

Evidence: two new cases of TestMalformedFramesCloseTheirLink failed.

--- a/apricotd/internal/connection/linker/check.go
+++ b/apricotd/internal/connection/linker/check.go
@@ -8,6 +8,12 @@
 	"apricotrudder.dev/wire/linkwire"
 )
 
+// Statuses that the answer in a result may have.
+const (
+	minFinalStatus = 200
+	maxStatus      = 999
+)
+
 var errMalformed = errors.New("frame is malformed")
 
 // check returns an error if a received frame lacks its content or has a number that
@@ -21,7 +27,7 @@
 		valid = areFinite(r.Weight, r.Held, r.Repeat) && isValidNotice(r.Notice)
 	case *linkwire.Frame_Result:
 		load := kind.Result.GetLoad()
-		valid = kind.Result.GetOutcome() != nil &&
+		valid = isValidOutcome(kind.Result) &&
 			areFinite(load.GetExcess(), load.GetDemand(), load.GetServiceMs(), load.GetRateUtilisation()) &&
 			isValidNotice(load.GetNotice())
 	case *linkwire.Frame_Beat:
@@ -37,6 +43,16 @@
 	return nil
 }
 
+// isValidOutcome reports whether a result has a refusal, or an answer with the status
+// of a final response.
+func isValidOutcome(r *linkwire.Result) bool {
+	if r.GetAnswer() == nil {
+		return r.GetRefusal() != nil
+	}
+	status := r.GetAnswer().GetStatus()
+	return status >= minFinalStatus && status <= maxStatus
+}
+
 func isValidNotice(n *linkwire.Notice) bool {
 	return areFinite(n.GetRate()) && n.GetRate() >= 0
 }
--- a/apricotd/internal/connection/linker/linker_test.go
+++ b/apricotd/internal/connection/linker/linker_test.go
@@ -194,12 +194,18 @@
 func TestMalformedFramesCloseTheirLink(t *testing.T) {
 	nan := math.NaN()
 	for name, frame := range map[string]*linkwire.Frame{
-		"run with NaN":       {Exchange: 1, Kind: &linkwire.Frame_Run{Run: &linkwire.Run{Held: nan}}},
-		"negative rate":      {Kind: &linkwire.Frame_Beat{Beat: &linkwire.Beat{Notice: &linkwire.Notice{Server: "i", Limited: true, Rate: -1}}}},
-		"infinite demand":    {Kind: &linkwire.Frame_Usage{Usage: &linkwire.Usage{Demands: []*linkwire.Demand{{Rate: float32(math.Inf(1))}}}}},
+		"run with NaN":    {Exchange: 1, Kind: &linkwire.Frame_Run{Run: &linkwire.Run{Held: nan}}},
+		"negative rate":   {Kind: &linkwire.Frame_Beat{Beat: &linkwire.Beat{Notice: &linkwire.Notice{Server: "i", Limited: true, Rate: -1}}}},
+		"infinite demand": {Kind: &linkwire.Frame_Usage{Usage: &linkwire.Usage{Demands: []*linkwire.Demand{{Rate: float32(math.Inf(1))}}}}},
+		"answer without status": {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{
+			Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{Body: []byte("x")}},
+		}}},
+		"interim answer": {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{
+			Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{Status: 103}},
+		}}},
 		"result without one": {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{}}},
 		"excess of NaN": {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{
-			Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{}}, Load: &linkwire.Load{Excess: nan},
+			Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{Status: 200}}, Load: &linkwire.Load{Excess: nan},
 		}}},
 	} {
 		t.Run(name, func(t *testing.T) {
