Convert numbers from outside within the range of their types

Go leaves the result of a float conversion that the type cannot hold to the processor: arm64 gives the nearest value, x86-64 the smallest integer. A Retry-After field of NaN passed the check of its range, a rate near zero made the computed wait of a bucket infinite, and a long latency target or a large priority wrapped around in 32 bits, which let requests wait for an arbitrary time or raised their rank.

Package converter saturates instead.

--- a/apricotd/internal/connection/exchanger/conn.go
+++ b/apricotd/internal/connection/exchanger/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 )
 
@@ -227,7 +228,7 @@
 			continue
 		}
 		if n, err := strconv.Atoi(value); err == nil {
-			c.idleLimit = time.Duration(n)*time.Second - keepAliveMargin
+			c.idleLimit = converter.Seconds(float64(n)) - keepAliveMargin
 		}
 	}
 }
--- a/apricotd/internal/process/policer/bucket.go
+++ b/apricotd/internal/process/policer/bucket.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/process/decayer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
@@ -76,7 +77,7 @@
 
 // take removes up to wanted tokens and returns how many.
 func (b *bucket) take(wanted uint32) uint32 {
-	n := min(wanted, uint32(max(0, b.tokens)))
+	n := min(wanted, converter.Count(b.tokens))
 	b.tokens -= float64(n)
 	return n
 }
@@ -89,7 +90,7 @@
 	if rate <= 0 {
 		return maxRetryAfter
 	}
-	return min(maxRetryAfter, time.Duration((b.refused-b.tokens)/rate*float64(time.Second)))
+	return min(maxRetryAfter, converter.Seconds((b.refused-b.tokens)/rate))
 }
 
 // recordDemand adds n requests to the estimate, which converges to the request
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
@@ -399,7 +401,7 @@
 	return &linkwire.Result{Outcome: &linkwire.Result_Refusal{Refusal: &linkwire.Refusal{
 		Reason:       reason,
 		NotRun:       true,
-		RetryAfterMs: uint32(retryAfter.Milliseconds()),
+		RetryAfterMs: converter.Uint32(retryAfter.Milliseconds()),
 		Detail:       strings.ToValidUTF8(detail, "?"),
 	}}}
 }
@@ -452,8 +454,8 @@
 // second.
 func retryAfter(fields parser.Fields) time.Duration {
 	seconds, err := strconv.ParseFloat(fields.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 || seconds > 60 {
+	if err != nil || math.IsNaN(seconds) || seconds < 0 || seconds > 60 {
 		return 0
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return converter.Seconds(seconds)
 }
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/process/picker"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
@@ -126,13 +127,13 @@
 		Host:        []byte(rq.Host),
 		Fields:      rq.fields,
 		Body:        rq.Body,
-		RemainingMs: uint32(max(1, left.Milliseconds())),
-		Rank:        uint32(max(0, rq.rank)),
+		RemainingMs: converter.Uint32(max(1, left.Milliseconds())),
+		Rank:        converter.Uint32(rq.rank),
 		Idempotent:  rq.route.Idempotent,
 		Call:        rq.isCall,
-		PatienceMs:  uint32(rq.maxQueueWait(left).Milliseconds()),
+		PatienceMs:  converter.Uint32(rq.maxQueueWait(left).Milliseconds()),
 		Route:       rq.route.Name,
-		Preference:  uint32(max(0, rq.preference)),
+		Preference:  converter.Uint32(rq.preference),
 		Held:        rq.throttledFraction,
 		Repeat:      rq.repeatProbability,
 	}
