Log one line for all links that a stopping node closes

What operators saw: the last line of a stopped node was one of up to 130 'link closed' lines, some of them cut off; 'node stopped' was missing.

Cause: each link of a stopping node logged a line at the same moment. The burst used up the allowance of lines below level warning, or the pipe could not take it within the 300 ms that the process waits for the log at its end.

TestStopLogsOneLineForAllLinks failed with 100 lines for 100 links.

Why this works: the node logs their number in one line.

--- a/apricotd/internal/connection/linker/faulty_test.go
+++ b/apricotd/internal/connection/linker/faulty_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"apricotrudder.dev/standin/connector"
@@ -117,3 +120,29 @@
 		}
 	}
 }
+
+// Guards against the log lines of hundreds of links, which a stopping node closes at
+// once, pushing out the line that the node has stopped.
+func TestStopLogsOneLineForAllLinks(t *testing.T) {
+	runNetwork(t, func(ctx context.Context, t *testing.T, network *connector.Connector) {
+		running, stop := context.WithCancel(ctx)
+		l := start(running, t, network, a, func(*Link, *linkwire.Frame) {})
+		var lines bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&lines)
+		l.Log = log
+		for i := range 100 {
+			peer := netip.AddrFrom4([4]byte{10, 3, 0, byte(i + 1)})
+			start(ctx, t, network, peer, func(*Link, *linkwire.Frame) {}).Connect(a)
+		}
+		time.Sleep(time.Second)
+		if got := l.PeerCount(); got != 100 {
+			t.Fatalf("linked peers: got %d, want 100", got)
+		}
+		stop()
+		time.Sleep(time.Second)
+		if got := strings.Count(lines.String(), "\n"); got != 1 || !strings.Contains(lines.String(), "links=100") {
+			t.Errorf("log of the stop: got %d lines, want one that counts 100 links", got)
+		}
+	})
+}
--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -490,10 +490,18 @@
 // close closes the link because of err, fails pending exchanges and cancels the
 // requests that run for the peer.
 func (l *Link) close(err error) {
+	if waiting, closed := l.shut(err); closed {
+		l.linker.Log.WithField("peer", l.Peer).WithField("waiting", waiting).WithError(err).Info("link closed")
+	}
+}
+
+// shut is close without a log line. It returns how many exchanges were pending, and
+// whether the link was open.
+func (l *Link) shut(err error) (pending int, closed bool) {
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
-		return
+		return 0, false
 	}
 	l.closed = true
 	waiting, running := l.waiting, l.running
@@ -511,5 +519,5 @@
 	for _, cancel := range running {
 		cancel()
 	}
-	l.linker.Log.WithField("peer", l.Peer).WithField("waiting", len(waiting)).WithError(err).Info("link closed")
+	return len(waiting), true
 }
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -399,10 +399,17 @@
 	return errors.Is(err, errUnresponsive) || errors.As(err, &ne) && ne.Timeout() || errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH)
 }
 
+// closeAll closes all links. It logs one line for all of them, because the lines of
+// hundreds of links delay the end of the process or push out others.
 func (l *Linker) closeAll() {
+	links, waiting := 0, 0
 	for _, link := range l.allLinks() {
-		link.close(context.Cause(l.ctx))
+		if pending, closed := link.shut(context.Cause(l.ctx)); closed {
+			links++
+			waiting += pending
+		}
 	}
+	l.Log.WithField("links", links).WithField("waiting", waiting).Info("links closed")
 }
 
 func (l *Linker) allLinks() []*Link {
