apricotctl explain: what an outcome means, and the age of the node's beliefs

The log entry of a request that was not answered now states for how long the tables had been in force and when the node last knew that it had all changes. A throttled request names the server and the age of the newest report, one without a server counts the listed servers by the reason against them, and a lost one names the node that was asked. explain prints the meaning of each outcome in a sentence; a test checks that all outcomes in OPERATIONS.md have one.

A request whose deadline passes before a server is asked ends as expired, no longer as noServer.

--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -49,11 +49,41 @@
 		TookMs   int64     `json:"tookMs"`
 		Outcome  string    `json:"outcome"`
 		Detail   string    `json:"detail"`
+		// TablesAgeMs and StateAgeMs are set unless the request was answered: for how
+		// long the tables had been in force, and the time since the node last knew
+		// that it had all changes of the published state.
+		TablesAgeMs int64 `json:"tablesAgeMs"`
+		StateAgeMs  int64 `json:"stateAgeMs"`
 	}
 )
 
+// meanings explain the outcomes of requests other than answered.
+var meanings = map[string]string{
+	"starting":         "this node refused it, because it had just started and had no tables yet; no server was asked",
+	"stopping":         "this node refused it, because it was stopping; no server was asked",
+	"noRoute":          "this node refused it, because its tables have no route for the host and path",
+	"keyUnknown":       "this node refused it, because its tables do not have the key",
+	"rateExceeded":     "the owner of the organisation's bucket refused it, because the organisation had used up its rate; no server was asked",
+	"throttled":        "this node refused it before it asked a server, because it believed that a pool which the request needs is overloaded",
+	"noServer":         "this node refused it, because it knew no server of the pool that it could use",
+	"overloaded":       "the node beside the server refused it, because no slot became free in time; it has not run",
+	"leaving":          "the node beside the server refused it, because the server or that node accepts nothing new; it has not run",
+	"wrongPool":        "the node beside the server refused it, because its server belongs to another pool; it has not run",
+	"unreachable":      "the server or the node beside it could not be reached; it has not run",
+	"shed":             "the server itself refused it and stated that it has not run it",
+	"expired":          "its deadline passed before it was sent to a server; it has not run",
+	"cancelled":        "its caller disconnected before it was sent to a server; it has not run",
+	"quarantined":      "it was refused, because servers that ran the same request have crashed",
+	"lostUnknown":      "it was sent, and the connection to the server or to the node beside it ended without an answer; it may have run",
+	"unclearUnknown":   "the server answered and contradicted itself, or did not tell whether it has run it; it may have run",
+	"expiredUnknown":   "it was sent, and its deadline passed before the answer; it may have run",
+	"cancelledUnknown": "its caller disconnected while it was running",
+	"internalUnknown":  "a node's code failed while it was running; it may have run",
+}
+
 // Execute prints the log entries of all nodes for a request and for its calls,
-// in chronological order. The ids of calls start with the id of the request.
+// in chronological order, with what the outcome means. The ids of calls start with
+// the id of the request.
 func (c *explainCommand) Execute([]string) error {
 	if len(c.Args.Files) == 0 {
 		return explain(os.Stdout, c.Args.ID, os.Stdin)
@@ -80,7 +110,7 @@
 		records = append(records, found...)
 	}
 	if len(records) == 0 {
-		return errors.Errorf("no log entry found for request %q; nodes limit their log output and may have dropped it (see the message \"log lines left out\")", id)
+		return errors.Errorf("no log entry found for request %q; its node may have been killed while the request was running, or may have dropped the entry to limit its log (see the message \"log lines left out\")", id)
 	}
 	slices.SortStableFunc(records, func(a, b requestRecord) int { return a.Time.Compare(b.Time) })
 	for _, r := range records {
@@ -131,5 +161,12 @@
 	if r.Detail != "" {
 		fmt.Fprintf(&b, "; %s", r.Detail)
 	}
+	if meaning := meanings[r.Outcome]; meaning != "" {
+		fmt.Fprintf(&b, "\n    %s", meaning)
+	}
+	if age := time.Duration(r.TablesAgeMs) * time.Millisecond; age > 0 {
+		fmt.Fprintf(&b, "\n    the node went by tables %d, in force for %v, and last knew that it had all changes %v before",
+			r.Version, age, time.Duration(r.StateAgeMs)*time.Millisecond)
+	}
 	return b.String()
 }
--- a/apricotctl/explain_test.go
+++ b/apricotctl/explain_test.go
@@ -9,9 +9,12 @@
 func TestExplain(t *testing.T) {
 	for id, want := range map[string]string{
 		"r1": `08:00:01.200 [1.2 vm-b] call r1.c1 on route stock (rank 1, tables 7): answered after 40 ms; asked 1 nodes of pool stock, i-3 last; reached 1 backend servers
-08:00:01.500 [1.5 vm-a] request r1 on route order (rank 0, tables 7): lostUnknown after 510 ms; asked 2 nodes of pool orders, i-2 last; reached 1 backend servers; wait for peer: link to peer was lost
+08:00:01.500 [1.5 vm-a] request r1 on route order (rank 0, tables 7): lostUnknown after 510 ms; asked 2 nodes of pool orders, i-2 last; reached 1 backend servers; node 10.0.0.2: wait for peer: link to peer was lost
+    it was sent, and the connection to the server or to the node beside it ended without an answer; it may have run
+    the node went by tables 7, in force for 12.4s, and last knew that it had all changes 180ms before
 `,
 		"r10": `08:00:01.600 [1.6 vm-a] request r10 on route search (rank 2, tables 7): throttled after 0 ms; asked 0 nodes of pool search; reached 0 backend servers; pressure 0.26 on the route's tree
+    this node refused it before it asked a server, because it believed that a pool which the request needs is overloaded
 `,
 	} {
 		f, err := os.Open("testdata/explain.log")
@@ -34,3 +37,18 @@
 		t.Error("explain a request without log entries: got no error, want one")
 	}
 }
+
+// Guards against an outcome that nodes log and that is not explained.
+func TestEveryOutcomeIsExplained(t *testing.T) {
+	data, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, _ := strings.Cut(string(data), "\nOutcomes: ")
+	text, _, _ = strings.Cut(text, "\n\n")
+	for i, word := range strings.Split(text, "`") {
+		if i%2 == 1 && word != "answered" && meanings[word] == "" {
+			t.Errorf("outcome %s: got no explanation", word)
+		}
+	}
+}
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -18,9 +18,12 @@
 package picker
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -180,6 +183,47 @@
 	return &Choice{Server: s, picker: p, record: r, rank: rq.Rank}, true
 }
 
+// Describe returns why Choose would select none of the servers: how many there are
+// for each reason.
+func (p *Picker) Describe(servers []*lister.Server, tried map[string]bool, rq Request) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var parts []string
+	counts := make(map[string]int)
+	for _, s := range servers {
+		reason := p.reasonAgainst(s, tried, rq, now)
+		if counts[reason]++; counts[reason] == 1 {
+			parts = append(parts, reason)
+		}
+	}
+	slices.Sort(parts)
+	for i, reason := range parts {
+		parts[i] = fmt.Sprintf("%d %s", counts[reason], reason)
+	}
+	if len(parts) == 0 {
+		return "none listed"
+	}
+	return fmt.Sprintf("%d listed: %s", len(servers), strings.Join(parts, ", "))
+}
+
+func (p *Picker) reasonAgainst(s *lister.Server, tried map[string]bool, rq Request, now time.Time) string {
+	r := p.records[s.ID]
+	switch {
+	case s.State != lister.Ready:
+		return "leaving"
+	case tried[s.ID]:
+		return "tried"
+	case r != nil && now.Before(r.avoidUntil):
+		return "could not be reached"
+	case r != nil && r.hasNoRoom(rq, now):
+		return "without room"
+	case !p.isEligible(s, rq, now):
+		return "announced as leaving or on a silent node"
+	}
+	return "usable"
+}
+
 // pick selects among the least utilised servers of each distance.
 func pick(best [distanceLevels]*lister.Server, utilisation [distanceLevels]float64) *lister.Server {
 	local, d := best[0], 0
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -58,6 +58,10 @@
 		Bottleneck string // pool
 		// Demand on the reporting server, in requests per second.
 		Demand float64
+		// Reporter is the server with the newest report of an estimate, and Age the
+		// age of that report.
+		Reporter string
+		Age      time.Duration
 	}
 
 	// A Throttler stores the reports that this node has received and the demand
@@ -71,6 +75,7 @@
 		reports     map[string]report // by server
 		bottleneck  string            // from the newest report
 		reportedAt  time.Time         // of the newest report
+		reporter    string            // of the newest report
 		rank        int
 		demand      float64 // decaying count of callers' requests
 		requestedAt time.Time
@@ -88,7 +93,7 @@
 	defer t.mu.Unlock()
 	r := t.getOrAdd(name)
 	r.reports[server] = report{Overload: o, receivedAt: time.Now()}
-	r.bottleneck, r.reportedAt = o.Bottleneck, time.Now()
+	r.bottleneck, r.reporter, r.reportedAt = o.Bottleneck, server, time.Now()
 }
 
 // Estimate returns the estimated overload of a route's call trees.
@@ -150,6 +155,7 @@
 	}
 	o := r.meanOverload(now)
 	o.Excess *= decayer.Factor(max(0, now.Sub(r.reportedAt)-staleAfter), staleHalfLife)
+	o.Reporter, o.Age = r.reporter, now.Sub(r.reportedAt)
 	return o
 }
 
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -19,12 +19,20 @@
 // run tries servers until one of them answers or no further attempt is allowed.
 func (p *Proxier) run(ctx context.Context, rq *request) outcome {
 	tried := make(map[string]bool)
-	var last outcome = refused{reason: reasonNoServer, detail: rq.pool, retryAfter: noServerRetryAfter}
+	var last outcome = refused{reason: invoker.Expired, detail: "the deadline passed before a server was asked"}
 	for rq.tries < maxTries {
 		if !time.Now().Before(rq.deadline) {
 			return last
 		}
-		choice, ok := p.Picker.Choose(p.List().Pool(rq.pool), tried, picker.Request{Call: rq.isCall, Rank: rq.rank})
+		servers, wanted := p.List().Pool(rq.pool), picker.Request{Call: rq.isCall, Rank: rq.rank}
+		choice, ok := p.Picker.Choose(servers, tried, wanted)
+		if !ok && rq.tries == 0 {
+			return refused{
+				reason:     reasonNoServer,
+				detail:     fmt.Sprintf("no usable server of pool %s: %s", rq.pool, p.Picker.Describe(servers, tried, wanted)),
+				retryAfter: noServerRetryAfter,
+			}
+		}
 		if !ok {
 			return last
 		}
@@ -157,6 +165,7 @@
 // exchangeFailed returns the outcome of an exchange with a node that failed:
 // refused if the request was certainly not sent, else unknown.
 func (p *Proxier) exchangeFailed(ctx context.Context, rq *request, c *picker.Choice, err error) outcome {
+	err = fmt.Errorf("node %v: %w", c.Server.Address.Addr(), err)
 	var unsent *linker.UnsentError
 	switch {
 	case errors.As(err, &unsent) && ctx.Err() == nil:
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -122,11 +122,7 @@
 	}
 	p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_requests_total{route=%q,outcome=%q}`, route, result)).Inc()
 	p.Metrics.GetOrCreateHistogram(fmt.Sprintf(`apricot_request_seconds{route=%q}`, route)).UpdateDuration(rq.Received)
-	level := logrus.WarnLevel
-	if _, ok := o.(answered); ok {
-		level = logrus.InfoLevel
-	}
-	p.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request":  rq.id,
 		"route":    route,
 		"pool":     rq.pool,
@@ -139,5 +135,12 @@
 		"tookMs":   time.Since(rq.Received).Milliseconds(),
 		"outcome":  result,
 		"detail":   detail,
-	}).Log(level, "request ended")
+	}
+	level := logrus.InfoLevel
+	if _, ok := o.(answered); !ok {
+		level = logrus.WarnLevel
+		tables, current := p.StateAge()
+		fields["tablesAgeMs"], fields["stateAgeMs"] = tables.Milliseconds(), current.Milliseconds()
+	}
+	p.Log.WithFields(fields).Log(level, "request ended")
 }
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -108,8 +108,11 @@
 		// Correlator estimates which calls the own backend server makes for each
 		// route.
 		Correlator *correlator.Correlator
-		Log        *logrus.Logger
-		Metrics    *metrics.Set
+		// StateAge returns for how long the tables have been in force, and the time
+		// since the node last knew that it had all changes of the published state.
+		StateAge func() (tables, current time.Duration)
+		Log      *logrus.Logger
+		Metrics  *metrics.Set
 
 		balancer poolBalancer
 		closed   atomic.Bool
@@ -223,8 +226,9 @@
 		return nil
 	}
 	return refused{
-		reason:     reasonThrottled,
-		detail:     fmt.Sprintf("pool %s is the bottleneck with an excess of %.2f; rejecting a fraction of %.2f of the requests of rank %d", overload.Bottleneck, overload.Excess, fraction, rq.rank),
+		reason: reasonThrottled,
+		detail: fmt.Sprintf("pool %s is the bottleneck with an excess of %.2f (newest report: server %s, %d ms ago); rejecting a fraction of %.2f of the requests of rank %d",
+			overload.Bottleneck, overload.Excess, overload.Reporter, overload.Age.Milliseconds(), fraction, rq.rank),
 		retryAfter: throttledRetryAfter,
 	}
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -303,6 +303,7 @@
 		Quarantine:  n.quarantine,
 		Throttler:   &throttler.Throttler{},
 		Correlator:  n.correlator,
+		StateAge:    n.syncer.StateAge,
 		Log:         n.Log,
 		Metrics:     n.metrics,
 	}
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -206,6 +206,19 @@
 	return time.Since(s.tablesActivatedAt)
 }
 
+// StateAge returns for how long the active tables have been in force, and the time
+// since this node last knew all that the store showed, from the store or from a
+// peer. Both are zero if that has never been so.
+func (s *Syncer) StateAge() (tables, current time.Duration) {
+	tables = s.TablesAge()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.currentAt.IsZero() {
+		current = time.Since(s.currentAt)
+	}
+	return tables, current
+}
+
 // StoreOutage returns the time since the first failed call of the current
 // outage. It is zero if the store answers or has not been called.
 func (s *Syncer) StoreOutage() time.Duration {
