Let callers' requests wait for the start of their node

What callers saw: 503 'starting' with a Retry-After of 0.5 s or more from a node that was ready 0.2 to 0.5 s after its start.

Requests now wait until the node has joined, at most until 1.2 s after its start; later ones are refused at once as before.

--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -88,10 +88,13 @@
 type (
 	// A Proxier serves requests. Its exported fields must be set before use.
 	Proxier struct {
-		Names       *namer.Names
-		Self        netip.Addr
-		LocalPool   func() string // pool of the own backend server
-		Resolver    func() *resolver.Resolver
+		Names     *namer.Names
+		Self      netip.Addr
+		LocalPool func() string // pool of the own backend server
+		Resolver  func() *resolver.Resolver
+		// AwaitStart waits for a time until Resolver returns one, if it returns nil
+		// because the node is starting.
+		AwaitStart  func(ctx context.Context)
 		List        func() *lister.List
 		Picker      *picker.Picker
 		Budget      *retrylimiter.Limiter
@@ -162,7 +165,10 @@
 func (p *Proxier) admit(ctx context.Context, rq *request) outcome {
 	tables := p.Resolver()
 	if tables == nil {
-		return refused{reason: reasonStarting, retryAfter: startingRetryAfter}
+		p.AwaitStart(ctx)
+		if tables = p.Resolver(); tables == nil {
+			return refused{reason: reasonStarting, retryAfter: startingRetryAfter}
+		}
 	}
 	rq.version = tables.Tables.Version
 	path, _, _ := strings.Cut(rq.Target, "?")
--- a/apricotd/mesher/joiner.go
+++ b/apricotd/mesher/joiner.go
@@ -19,6 +19,9 @@
 	joinTimeout = time.Second
 	// joinCheckInterval is how often a starting node checks whether it may join.
 	joinCheckInterval = 20 * time.Millisecond
+	// startHold is how long after the start of a node its callers' requests wait for
+	// it to join. Later ones are refused at once, since something is wrong then.
+	startHold = 1200 * time.Millisecond
 	// maxJoinPeers bounds the peers that a starting node takes into account.
 	maxJoinPeers = 64
 	// minJoinPeers is the number of running peers that a starting node must hear from
@@ -44,6 +47,7 @@
 	Fetch func(*linker.Link, *linkwire.Beat)
 
 	joined atomic.Bool
+	done   chan struct{} // closed when the node has joined
 
 	mu           sync.Mutex
 	beats        map[netip.Addr]*linkwire.Beat // last one of each peer
@@ -53,6 +57,15 @@
 // Run returns once the node has joined, with the reason, or an empty one if ctx is
 // done first.
 func (j *joiner) Run(ctx context.Context) (reason string) {
+	if reason = j.await(ctx); reason != "" {
+		j.joined.Store(true)
+		close(j.done)
+	}
+	return reason
+}
+
+// await returns the reason for which the node may join.
+func (j *joiner) await(ctx context.Context) (reason string) {
 	ticker := time.NewTicker(joinCheckInterval)
 	defer ticker.Stop()
 	var loadedAt time.Time
@@ -63,13 +76,10 @@
 		}
 		switch {
 		case !loadedAt.IsZero() && j.hasCurrentState():
-			j.joined.Store(true)
 			return "state of a peer received"
 		case !loadedAt.IsZero() && j.hasNoRunningPeer():
-			j.joined.Store(true)
 			return "all peers are starting"
 		case !loadedAt.IsZero() && now.Sub(loadedAt) > joinTimeout:
-			j.joined.Store(true)
 			return "peers have not answered in time"
 		}
 		select {
@@ -160,6 +170,16 @@
 	n.announceState()
 }
 
+// awaitJoin waits until the node has joined, at most until startHold after its start.
+func (n *Node) awaitJoin(ctx context.Context) {
+	hold, cancel := context.WithDeadline(ctx, n.startedAt.Add(startHold))
+	defer cancel()
+	select {
+	case <-n.joiner.done:
+	case <-hold.Done():
+	}
+}
+
 // servingResolver returns the resolver of the active tables, or nil while the node
 // is starting.
 func (n *Node) servingResolver() *resolver.Resolver {
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -138,6 +138,7 @@
 	joiner        *joiner
 	vouching      vouchState
 	background    context.Context // cancelled after the drain
+	startedAt     time.Time
 }
 
 // Run serves until the context is cancelled and then stops gracefully. If one of
@@ -183,6 +184,7 @@
 
 func (n *Node) build() {
 	s := n.Settings
+	n.startedAt = time.Now()
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Limits.MemoryMB) * (1 << 20)))
 	}
@@ -210,6 +212,7 @@
 		IsNewer:          n.hasNewerState,
 		Candidates:       func() []netip.Addr { return n.readers.firstCandidates(persistentPeersPerRegion) },
 		HasStoreAnswered: n.syncer.HasStoreAnswered,
+		done:             make(chan struct{}),
 	}
 	complete := &fetcher{IsNewer: func(*linkwire.Beat) bool { return !n.joiner.joined.Load() }, Request: n.completeStateFrame}
 	n.joiner.Fetch = func(l *linker.Link, b *linkwire.Beat) { complete.addAnnouncement(l, b, 0) }
@@ -284,12 +287,13 @@
 func (n *Node) buildProxier() {
 	s := n.Settings
 	n.proxier = &proxier.Proxier{
-		Names:     n.Names,
-		Self:      s.Listen.Links.Addr(),
-		LocalPool: n.localPool,
-		Resolver:  n.servingResolver,
-		List:      n.syncer.List,
-		Picker:    n.picker,
+		Names:      n.Names,
+		Self:       s.Listen.Links.Addr(),
+		LocalPool:  n.localPool,
+		Resolver:   n.servingResolver,
+		AwaitStart: n.awaitJoin,
+		List:       n.syncer.List,
+		Picker:     n.picker,
 		Budget: &retrylimiter.Limiter{
 			Window:    time.Duration(s.Retries.Window),
 			Ratio:     s.Retries.Ratio,
