Read and pass on changes of the store together while they follow each other

While many servers register, as after the start of a fleet, each reader made a call to the store for each single entry, and each entry was announced to and fetched by every node on its own. A reader now starts its calls at least 150 ms apart. Bounds on changes in force are 2 s or more.

--- a/apricotd/mesher/state_test.go
+++ b/apricotd/mesher/state_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"apricotrudder.dev/apricotd/syncer"
 	"apricotrudder.dev/apricotd/version/lister"
 )
 
@@ -283,3 +284,23 @@
 		}
 	})
 }
+
+// Guards against a call to the store, and a heartbeat and an update of every node, for
+// each single entry while many servers register.
+func TestStoreCallsWhileServersRegister(t *testing.T) {
+	runFleet(t, eightVMs, func(f *fleet) {
+		const changes, interval = 100, 20 * time.Millisecond
+		before := f.store.Calls()
+		for range changes {
+			f.publishServer("h", lister.Ready)
+			time.Sleep(interval)
+		}
+		perReader := int(changes*interval/syncer.MinCallInterval) + 2
+		if got, want := f.store.Calls()-before, 2*readersPerRegion*perReader; got > want {
+			t.Errorf("store calls for %d changes in %v: got %d, want at most %d", changes, changes*interval, got, want)
+		}
+		f.publishServer("h", lister.Leaving)
+		time.Sleep(500 * time.Millisecond)
+		f.checkState("h", lister.Leaving)
+	})
+}
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -41,6 +41,9 @@
 )
 
 const (
+	// MinCallInterval is the least time between the starts of two calls to the store
+	// while changes follow each other, so that they are read and passed on together.
+	MinCallInterval = 150 * time.Millisecond
 	// watchWait is the longest time a watch call waits for a change. It is
 	// short because a store that has lost its history may never answer a watch.
 	watchWait = time.Second
@@ -239,10 +242,12 @@
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
+		start := time.Now()
 		if err := s.poll(ctx); err != nil && ctx.Err() == nil {
 			s.recordFailure(err)
 			sleep(ctx, retryInterval/2+rand.N(retryInterval))
 		}
+		sleep(ctx, MinCallInterval-time.Since(start))
 	}
 }
 
