Announce changes to a bounded number of nodes; count frames and store calls

Each node announced each change to every node of its region to which it had a link, so the frames of one change grew with the square of the fleet: 98 nodes with some 45 links in the region send 4,400 heartbeats for each. A reader still tells all linked nodes of its region, any other node six of them, chosen at random. A node that hears neither a reader nor the store asks a few of its peers for their versions, so that a change also reaches a node that is cut off from all readers.

New metrics: frames and bytes to peers by kind and scope, calls to the store by reason.

--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -242,6 +242,9 @@
 	if _, err := bw.Write(buffer); err != nil {
 		return buffer, fmt.Errorf("write frame: %w", err)
 	}
+	if l.linker.Sent != nil {
+		l.linker.Sent(l.Peer, o.frame, len(buffer))
+	}
 	if cap(buffer) > 1<<20 {
 		buffer = nil
 	}
@@ -376,6 +379,10 @@
 	}
 }
 
+// lastFrameAt returns when the last frame arrived or, if none has, when the link was
+// opened.
+func (l *Link) lastFrameAt() time.Time { return l.start.Add(time.Duration(l.lastReceived.Load())) }
+
 // silence returns for how long the peer has sent nothing while an exchange has
 // been pending; zero if none is.
 func (l *Link) silence(now time.Time) time.Duration {
@@ -395,7 +402,7 @@
 	if oldest.IsZero() {
 		return 0
 	}
-	since := l.start.Add(time.Duration(l.lastReceived.Load()))
+	since := l.lastFrameAt()
 	if oldest.After(since) {
 		since = oldest
 	}
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -24,8 +24,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +83,9 @@
 		Beat func() *linkwire.Beat
 		// Receive handles frames that belong to no exchange.
 		Receive func(l *Link, frame *linkwire.Frame)
+		// Sent is called with each frame that has been written and its size on the
+		// wire. It must not block. It may be nil.
+		Sent func(peer netip.Addr, frame *linkwire.Frame, bytes int)
 		// Dial opens a connection. If nil, TCP is used.
 		Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 		// Memory limits what the frames that are being received may occupy. If
@@ -227,7 +232,7 @@
 	defer l.mu.Unlock()
 	var last time.Time
 	for link := range l.links {
-		if at := link.start.Add(time.Duration(link.lastReceived.Load())); link.Peer == address && at.After(last) {
+		if at := link.lastFrameAt(); link.Peer == address && at.After(last) {
 			last = at
 		}
 	}
@@ -281,6 +286,22 @@
 	}
 }
 
+// LinkedPeers returns the addresses of the linked peers. The one that has sent a frame
+// most recently is the first.
+func (l *Linker) LinkedPeers() []netip.Addr {
+	l.mu.Lock()
+	heard := make(map[netip.Addr]time.Time, len(l.links))
+	for link := range l.links {
+		if at := link.lastFrameAt(); !link.isRetired() && !at.Before(heard[link.Peer]) {
+			heard[link.Peer] = at
+		}
+	}
+	l.mu.Unlock()
+	peers := slices.Collect(maps.Keys(heard))
+	slices.SortFunc(peers, func(a, b netip.Addr) int { return heard[b].Compare(heard[a]) })
+	return peers
+}
+
 // PeerCount returns the number of linked peers.
 func (l *Linker) PeerCount() int {
 	return len(l.linkByPeer())
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -119,6 +119,7 @@
 	acceptor      *acceptor.Acceptor
 	exchanger     *exchanger.Exchanger
 	linker        *linker.Linker
+	traffic       *trafficCounter
 	syncer        *syncer.Syncer
 	identifier    *identifier.Identifier
 	picker        *picker.Picker
@@ -244,12 +245,14 @@
 		Downstream: func(route string) throttler.Overload { return n.proxier.Downstream(route) },
 	}
 	n.invoker.SetSlots(defaultSlots)
+	n.traffic = newTrafficCounter(n.metrics, n.scopeOf)
 	n.linker = &linker.Linker{
 		Port:        s.Listen.Links.Port(),
 		Serve:       n.invoker.Run,
 		GrantTokens: n.grantTokens,
 		Beat:        n.beat,
 		Receive:     n.handleFrame,
+		Sent:        n.traffic.count,
 		Dial:        n.Dial,
 		Memory:      n.memory,
 		Log:         n.Log,
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -99,6 +99,9 @@
 	}
 	n.metrics.NewGauge("apricot_callers_active", func() float64 { return float64(n.acceptor.ActiveRequests()) })
 	n.metrics.NewGauge("apricot_peers_linked", func() float64 { return float64(n.linker.PeerCount()) })
+	for reason, calls := range map[string]func() int64{"read": n.syncer.ReadCalls, "watch": n.syncer.WatchCalls, "check": n.syncer.CheckCalls} {
+		n.metrics.NewGauge(fmt.Sprintf(`apricot_store_calls{reason=%q}`, reason), func() float64 { return float64(calls()) })
+	}
 	n.metrics.NewGauge("apricot_config_version", func() float64 { return float64(n.syncer.Versions().Tables) })
 	n.metrics.NewGauge("apricot_servers_revision", func() float64 { return float64(n.syncer.Versions().Servers.Revision) })
 	n.metrics.NewGauge("apricot_store_era", func() float64 { return float64(n.syncer.Versions().Servers.Era) })
--- a/apricotd/mesher/readers.go
+++ b/apricotd/mesher/readers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -28,6 +29,13 @@
 	readerTimeout    = time.Second
 	readerStagger    = 50 * time.Millisecond
 	maxReaderStagger = 600 * time.Millisecond
+	// announceFanOut is the number of linked nodes of the region to which a node that
+	// is no reader announces a change.
+	announceFanOut = 6
+	// While a node hears neither a reader nor the store, it asks inquiryFanOut linked
+	// nodes for their versions in each readerHeartbeatInterval, and as many of those
+	// that it has heard most recently, since links to others may be dead.
+	inquiryFanOut = 2
 	// persistentPeersPerRegion is the number of nodes in each region, the first
 	// ones by readerHash, to which every node keeps a link. Other links are opened
 	// on demand.
@@ -68,6 +76,14 @@
 	}
 }
 
+// readerSilence returns the time since the last heartbeat of a reader of the region
+// that has access to the store.
+func (r *readerSelector) readerSilence() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.lastReaderHeartbeat)
+}
+
 // regionOf returns the region of a node from the server list or, if the node is
 // not listed, from its heartbeats.
 func (r *readerSelector) regionOf(a netip.Addr) string {
@@ -97,10 +113,8 @@
 	if rank < readersPerRegion {
 		return true
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	stagger := min(maxReaderStagger, time.Duration(rank-readersPerRegion)*readerStagger)
-	return time.Since(r.lastReaderHeartbeat) > readerTimeout+stagger
+	return r.readerSilence() > readerTimeout+stagger
 }
 
 // readerRank returns the number of linked nodes that precede this node among the
@@ -164,7 +178,8 @@
 }
 
 // sendReaderHeartbeats sends heartbeats to the region while this node reads the
-// store. It also reopens lost links to the persistent peers.
+// store. It also reopens lost links to the persistent peers, and asks some nodes for
+// their versions while this node hears neither a reader nor the store.
 func (n *Node) sendReaderHeartbeats(ctx context.Context) {
 	repeater.Run(ctx, readerHeartbeatInterval, func(time.Time) {
 		n.connectPersistentPeers()
@@ -174,18 +189,49 @@
 				return &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: beat}}
 			}, n.inLocalRegion)
 		}
+		if n.readers.readerSilence() > readerTimeout && !n.syncer.IsStoreAvailable() {
+			n.inquire()
+		}
 	})
 }
 
-// announceState tells the nodes of this region which versions this node has. A
-// reader also tells the readers of other regions, which may have no access to the
-// store.
+// inquire asks some linked nodes for their versions.
+func (n *Node) inquire() {
+	peers := n.linker.LinkedPeers()
+	asked := sampleOf(peers, inquiryFanOut)
+	for _, a := range peers[:min(inquiryFanOut, len(peers))] {
+		asked[a] = true
+	}
+	beat := n.beat()
+	beat.Reply = true
+	n.linker.Broadcast(func() *linkwire.Frame {
+		return &linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: beat}}
+	}, func(a netip.Addr) bool { return asked[a] })
+}
+
+// sampleOf returns n of the addresses, or all if there are fewer, chosen at random.
+func sampleOf(addresses []netip.Addr, n int) map[netip.Addr]bool {
+	out := make(map[netip.Addr]bool, n)
+	for _, i := range rand.Perm(len(addresses))[:min(n, len(addresses))] {
+		out[addresses[i]] = true
+	}
+	return out
+}
+
+// announceState tells other nodes which versions this node has. A reader tells all
+// linked nodes of its region, and the readers of other regions, which may have no
+// access to the store. Any other node tells some of its region, so that changes also
+// reach nodes that no reader reaches.
 func (n *Node) announceState() {
+	if !n.readers.isReader() {
+		peers := slices.DeleteFunc(n.linker.LinkedPeers(), func(a netip.Addr) bool { return !n.inLocalRegion(a) })
+		told := sampleOf(peers, announceFanOut)
+		n.linker.Announce(func(a netip.Addr) bool { return told[a] })
+		return
+	}
 	allReaders := make(map[netip.Addr]bool)
-	if n.readers.isReader() {
-		for _, a := range n.readers.firstCandidates(readersPerRegion) {
-			allReaders[a] = true
-		}
+	for _, a := range n.readers.firstCandidates(readersPerRegion) {
+		allReaders[a] = true
 	}
 	n.linker.Announce(func(a netip.Addr) bool { return allReaders[a] || n.inLocalRegion(a) })
 }
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -132,6 +132,8 @@
 		// that does not renew it; zero means 4.5 s.
 		EntryLifetime time.Duration
 
+		readCalls, watchCalls, checkCalls atomic.Int64
+
 		resolver atomic.Pointer[resolver.Resolver]
 		list     atomic.Pointer[lister.List]
 
@@ -233,6 +235,15 @@
 	return time.Since(s.failingSince)
 }
 
+// ReadCalls returns the number of times that this node has read the full state.
+func (s *Syncer) ReadCalls() int64 { return s.readCalls.Load() }
+
+// WatchCalls returns the number of calls that waited for a change.
+func (s *Syncer) WatchCalls() int64 { return s.watchCalls.Load() }
+
+// CheckCalls returns the number of calls that only checked whether the store answers.
+func (s *Syncer) CheckCalls() int64 { return s.checkCalls.Load() }
+
 // Run reads and watches the store while this node is a reader. It returns when
 // the context is done.
 func (s *Syncer) Run(ctx context.Context) {
@@ -254,6 +265,7 @@
 // CheckStore makes one call to the store and returns an error if it does not
 // answer.
 func (s *Syncer) CheckStore(ctx context.Context) error {
+	s.checkCalls.Add(1)
 	_, err := s.watch(ctx, s.Versions().Servers.Revision, 0)
 	if errors.Is(err, ErrHistoryGone) {
 		return nil
@@ -269,6 +281,7 @@
 	if position.IsZero() {
 		return s.readAll(ctx)
 	}
+	s.watchCalls.Add(1)
 	changes, err := s.watch(ctx, position.Revision, watchWait)
 	if errors.Is(err, ErrHistoryGone) {
 		s.Log.WithField("era", position.Era).WithField("revision", position.Revision).
@@ -318,6 +331,7 @@
 func (s *Syncer) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	s.readCalls.Add(1)
 	snapshot, err := s.Store.Read(ctx)
 	if err != nil {
 		return fmt.Errorf("read store: %w", err)
--- a/apricotd/version/lister/lister.go
+++ b/apricotd/version/lister/lister.go
@@ -47,14 +47,16 @@
 		Sequence uint64
 	}
 
+	place struct{ region, dataCentre string }
+
 	// A List is one revision of the platform's list.
 	List struct {
 		Revision uint64
 
 		servers      map[string]*Server // by id
 		pools        map[string][]*Server
-		regionByVM   map[netip.Addr]string // by VM address
-		vmsPerRegion map[string]int        // by region
+		placeByVM    map[netip.Addr]place // by VM address
+		vmsPerRegion map[string]int       // by region
 	}
 )
 
@@ -74,14 +76,14 @@
 		Revision:     revision,
 		servers:      make(map[string]*Server, len(servers)),
 		pools:        make(map[string][]*Server),
-		regionByVM:   make(map[netip.Addr]string, len(servers)),
+		placeByVM:    make(map[netip.Addr]place, len(servers)),
 		vmsPerRegion: make(map[string]int),
 	}
 	for _, s := range servers {
 		l.servers[s.ID] = s
 		l.pools[s.Pool] = append(l.pools[s.Pool], s)
-		if _, known := l.regionByVM[s.Address.Addr()]; !known {
-			l.regionByVM[s.Address.Addr()] = s.Region
+		if _, known := l.placeByVM[s.Address.Addr()]; !known {
+			l.placeByVM[s.Address.Addr()] = place{region: s.Region, dataCentre: s.DataCentre}
 			l.vmsPerRegion[s.Region]++
 		}
 	}
@@ -101,7 +103,7 @@
 
 // VMCount returns the number of VMs with a listed backend server.
 func (l *List) VMCount() int {
-	return len(l.regionByVM)
+	return len(l.placeByVM)
 }
 
 // VMCountIn returns the number of VMs with a listed backend server in a region.
@@ -118,7 +120,7 @@
 // Addresses is an iterator over the addresses of the VMs with a listed backend
 // server, in no particular order.
 func (l *List) Addresses(yield func(netip.Addr) bool) {
-	for a := range l.regionByVM {
+	for a := range l.placeByVM {
 		if !yield(a) {
 			return
 		}
@@ -128,7 +130,13 @@
 // RegionOf returns the region of the VM with the given address, or "" if it has no
 // listed backend server.
 func (l *List) RegionOf(a netip.Addr) string {
-	return l.regionByVM[a]
+	return l.placeByVM[a].region
+}
+
+// DataCentreOf returns the data centre of the VM with the given address, or "" if it
+// has no listed backend server.
+func (l *List) DataCentreOf(a netip.Addr) string {
+	return l.placeByVM[a].dataCentre
 }
 
 // ServerAt returns the server that listens on an address. If several are listed
