--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -136,6 +136,9 @@
 		"outcome":  result,
 		"detail":   detail,
 	}
+	if rq.organisation != nil {
+		fields["organisation"] = rq.organisation.Name
+	}
 	level := logrus.InfoLevel
 	if _, ok := o.(answered); !ok {
 		level = logrus.WarnLevel
