Count VMs whose entries have expired as possibly cut off

Cause: when the entries of the side without the store expire, the other side's list holds its own nodes only, so its owners reach all of them and grant the whole rate, while the side that is cut off goes on.

Why this works: VMs whose entries expired while their servers were Ready in the last 30 s count as nodes of the region as long as they leave probes unanswered and refuse no connection.

A cut of more than 30 s after the entries have expired is not covered: the side with the store then uses the whole rate and the other side its part.

--- a/apricotd/internal/process/policer/reach.go
+++ b/apricotd/internal/process/policer/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"apricotrudder.dev/apricotd/version/lister"
@@ -21,6 +22,9 @@
 	reachTimeout = 800 * time.Millisecond
 	// pressureTTL is how long after it has refused tokens a node goes on probing.
 	pressureTTL = 2 * time.Second
+	// absentTTL is how long after its entry has expired a VM may be one that is only cut
+	// off.
+	absentTTL = 30 * time.Second
 	// reachCacheTTL is how long an estimate is used.
 	reachCacheTTL = 100 * time.Millisecond
 )
@@ -52,6 +56,11 @@
 	if !isPressed {
 		return
 	}
+	for _, vm := range list.Absent() {
+		if p.mayBeCutOff(vm, now) {
+			sample = append(sample, vm.Address)
+		}
+	}
 	for _, a := range sample {
 		if a != p.Self && !p.isHeard(a, now) {
 			p.Probe(a)
@@ -59,6 +68,11 @@
 	}
 }
 
+// mayBeCutOff reports whether an absent VM of the region may still admit requests.
+func (p *Policer) mayBeCutOff(vm lister.AbsentVM, now time.Time) bool {
+	return vm.Region == p.Region && now.Sub(vm.Since) < absentTTL
+}
+
 // isHeard reports whether a node has been heard lately. If not, it records since when
 // the node has been probed.
 func (p *Policer) isHeard(a netip.Addr, now time.Time) bool {
@@ -81,11 +95,11 @@
 // reachSample returns the nodes of the region that are probed. p.mu must be held.
 func (p *Policer) reachSample(list *lister.List) []netip.Addr {
 	order := p.candidateOrder(list, p.Region, p.Self.String())
-	return order[:min(reachSample, len(order))]
+	return slices.Clip(order[:min(reachSample, len(order))])
 }
 
-// reachableFraction returns the fraction of the region's nodes that are not known
-// to be out of reach. These admit requests from their fallback buckets, or from the
+// reachableFraction returns the fraction of the region's nodes, absent VMs included,
+// that are not known to be out of reach. Those that are admit requests from their fallback buckets, or from the
 // buckets of owners of their own, so the owner must leave their part of the rate
 // unused. Nodes that refuse connections admit nothing. p.mu must be held.
 func (p *Policer) reachableFraction() float64 {
@@ -96,14 +110,26 @@
 	if r := p.reach; r.list == list && now.Sub(r.estimatedAt) < reachCacheTTL {
 		return r.fraction
 	}
-	sample, unreachable := p.reachSample(list), 0
+	listed, sample, silent := float64(list.VMCountIn(p.Region)), p.reachSample(list), 0
 	for _, a := range sample {
-		since, isProbed := p.unanswered[a]
-		isSilent := isProbed && now.Sub(since) >= reachTimeout && !p.IsDown(a)
-		if a != p.Self && (isSilent || p.IsUnreachable(a)) {
-			unreachable++
+		if a != p.Self && (p.isSilent(a, now) || p.IsUnreachable(a)) {
+			silent++
 		}
 	}
-	p.reach = reachEstimate{fraction: 1 - float64(unreachable)/float64(len(sample)), estimatedAt: now, list: list}
+	absent := 0.0
+	for _, vm := range list.Absent() {
+		if p.mayBeCutOff(vm, now) && p.isSilent(vm.Address, now) {
+			absent++
+		}
+	}
+	reached := listed * (1 - float64(silent)/float64(len(sample)))
+	p.reach = reachEstimate{fraction: reached / (listed + absent), estimatedAt: now, list: list}
 	return p.reach.fraction
 }
+
+// isSilent reports whether a node has left probes unanswered for a time and does not
+// refuse connections. p.mu must be held.
+func (p *Policer) isSilent(a netip.Addr, now time.Time) bool {
+	since, isProbed := p.unanswered[a]
+	return isProbed && now.Sub(since) >= reachTimeout && !p.IsDown(a)
+}
--- a/apricotd/mesher/state_test.go
+++ b/apricotd/mesher/state_test.go
@@ -278,7 +278,7 @@
 }
 
 // Guards against both sides of a cut that divides the nodes of each region admitting
-// the whole rate.
+// the whole rate, also after the entries of the side without the store have expired.
 func TestRateLimitWhileFleetIsSplit(t *testing.T) {
 	for _, n := range []int{16, 48} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -287,13 +287,22 @@
 					m.worker.slots, m.worker.serviceTime = 64, time.Millisecond
 				}
 				f.sendSearches(3 * time.Second)
+				half := fmt.Sprintf("vm%02d", n/2)
 				for name, m := range f.vms {
+					f.store.SetRejected(m.address, name >= half)
 					for other, o := range f.vms {
-						if name < other && (name < fmt.Sprintf("vm%02d", n/2)) != (other < fmt.Sprintf("vm%02d", n/2)) {
+						if name < other && (name < half) != (other < half) {
 							f.network.Cut(m.address, o.address)
 						}
 					}
 				}
+				time.AfterFunc(4*time.Second, func() {
+					for name := range f.vms {
+						if name >= half {
+							f.store.Delete("i-" + name)
+						}
+					}
+				})
 				f.sendSearches(15 * time.Second)
 				if runs, minRuns := f.checkOrganisationRate(), goldRate*18*6/10; len(runs) < minRuns {
 					t.Errorf("runs in 18 s: got %d, want at least %d", len(runs), minRuns)
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -233,13 +233,20 @@
 func (s *Syncer) publish() {
 	now := time.Now()
 	servers := make([]*lister.Server, 0, len(s.entries))
+	var absent []lister.AbsentVM
 	for _, e := range s.entries {
 		e.usable = e.isUsable(now)
-		if e.usable && e.server != nil {
+		switch {
+		case e.server == nil:
+		case e.usable:
 			servers = append(servers, e.server)
+		case e.server.State == lister.Ready:
+			absent = append(absent, lister.AbsentVM{Address: e.server.Address.Addr(), Region: e.server.Region, Since: e.removedAt})
 		}
 	}
-	s.list.Store(lister.New(s.position.Revision, servers))
+	list := lister.New(s.position.Revision, servers)
+	list.SetAbsent(absent)
+	s.list.Store(list)
 }
 
 // sweep drops servers whose grace period and health report have expired, ends
--- a/apricotd/version/lister/lister.go
+++ b/apricotd/version/lister/lister.go
@@ -49,6 +49,14 @@
 
 	place struct{ region, dataCentre string }
 
+	// An AbsentVM is a VM without a listed backend server whose last one was Ready when
+	// its entry expired. It may be gone, or only cut off from the platform.
+	AbsentVM struct {
+		Address netip.Addr
+		Region  string
+		Since   time.Time
+	}
+
 	// A List is one revision of the platform's list.
 	List struct {
 		Revision uint64
@@ -57,6 +65,7 @@
 		pools        map[string][]*Server
 		placeByVM    map[netip.Addr]place // by VM address
 		vmsPerRegion map[string]int       // by region
+		absent       []AbsentVM
 	}
 )
 
@@ -90,6 +99,17 @@
 	return l
 }
 
+// SetAbsent sets the absent VMs. It must be called before the list is used by others.
+func (l *List) SetAbsent(vms []AbsentVM) {
+	l.absent = slices.DeleteFunc(vms, func(vm AbsentVM) bool {
+		_, isListed := l.placeByVM[vm.Address]
+		return isListed
+	})
+}
+
+// Absent returns the absent VMs.
+func (l *List) Absent() []AbsentVM { return l.absent }
+
 // Server returns the server with the given id.
 func (l *List) Server(id string) (*Server, bool) {
 	s, ok := l.servers[id]
