--- a/apricotd/internal/process/policer/reach.go
+++ b/apricotd/internal/process/policer/reach.go
@@ -99,9 +99,10 @@
 }
 
 // reachableFraction returns the fraction of the region's nodes, absent VMs included,
-// that are not known to be out of reach. Those that are admit requests from their fallback buckets, or from the
-// buckets of owners of their own, so the owner must leave their part of the rate
-// unused. Nodes that refuse connections admit nothing. p.mu must be held.
+// that are not known to be out of reach. Nodes out of reach admit requests from their
+// fallback buckets or from the buckets of owners of their own, so the owner must leave
+// their part of the rate unused. Nodes that refuse connections admit nothing. p.mu
+// must be held.
 func (p *Policer) reachableFraction() float64 {
 	list, now := p.List(), time.Now()
 	if list == nil || list.VMCountIn(p.Region) == 0 {
