Do not sort the region's nodes twenty times a second

A node that does not read the store checks every 50 ms whether it has become a reader. Each check sorted all nodes of the region by a hash and looked through all links for each of them; so did each look at the state of a peer elsewhere, and each heartbeat went through all entries of the server list for a health report.

The order of candidates is kept with its server list, the check ends at the rank from which all nodes take over, links are found by peer, and entries are only looked through for reports that name a server or withdraw one.

--- a/apricotd/internal/connection/linker/link.go
+++ b/apricotd/internal/connection/linker/link.go
@@ -108,7 +108,7 @@
 		link.Peer = a.Addr().Unmap()
 	}
 	l.mu.Lock()
-	l.links[link] = struct{}{}
+	l.links[link.Peer] = append(l.links[link.Peer], link)
 	l.mu.Unlock()
 	go link.write()
 	go link.read()
@@ -393,15 +393,15 @@
 
 // silenceLocked is silence with l.mu held.
 func (l *Link) silenceLocked(now time.Time) time.Duration {
+	if len(l.waiting) == 0 {
+		return 0
+	}
 	var oldest time.Time
 	for _, p := range l.waiting {
 		if oldest.IsZero() || p.since.Before(oldest) {
 			oldest = p.since
 		}
 	}
-	if oldest.IsZero() {
-		return 0
-	}
 	since := l.lastFrameAt()
 	if oldest.After(since) {
 		since = oldest
@@ -517,9 +517,7 @@
 	close(l.done)
 	_ = l.nc.Close()
 	l.linker.peer(l.Peer).linkClosed(l, err)
-	l.linker.mu.Lock()
-	delete(l.linker.links, l)
-	l.linker.mu.Unlock()
+	l.linker.removeLink(l)
 	for _, p := range waiting {
 		p.fail(fmt.Errorf("%w: %w", ErrLost, err))
 	}
--- a/apricotd/internal/connection/linker/linker.go
+++ b/apricotd/internal/connection/linker/linker.go
@@ -96,7 +96,7 @@
 		ctx   context.Context
 		mu    sync.Mutex
 		peers map[netip.Addr]*peer
-		links map[*Link]struct{}
+		links map[netip.Addr][]*Link // open links by peer
 	}
 
 	// A peer is a node to which this node opens links.
@@ -127,7 +127,7 @@
 func (l *Linker) Start(ctx context.Context) {
 	l.ctx = ctx
 	l.peers = make(map[netip.Addr]*peer)
-	l.links = make(map[*Link]struct{})
+	l.links = make(map[netip.Addr][]*Link)
 	if l.Dial == nil {
 		l.Dial = dialTCP
 	}
@@ -231,8 +231,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var last time.Time
-	for link := range l.links {
-		if at := link.lastFrameAt(); link.Peer == address && at.After(last) {
+	for _, link := range l.links[address] {
+		if at := link.lastFrameAt(); at.After(last) {
 			last = at
 		}
 	}
@@ -248,8 +248,8 @@
 	p.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for link := range l.links {
-		if link.Peer == address && !link.isRetired() {
+	for _, link := range l.links[address] {
+		if !link.isRetired() {
 			return true, false
 		}
 	}
@@ -301,9 +301,11 @@
 func (l *Linker) LinkedPeers() []netip.Addr {
 	l.mu.Lock()
 	heard := make(map[netip.Addr]time.Time, len(l.links))
-	for link := range l.links {
-		if at := link.lastFrameAt(); !link.isRetired() && !at.Before(heard[link.Peer]) {
-			heard[link.Peer] = at
+	for peer, links := range l.links {
+		for _, link := range links {
+			if at := link.lastFrameAt(); !link.isRetired() && !at.Before(heard[peer]) {
+				heard[peer] = at
+			}
 		}
 	}
 	l.mu.Unlock()
@@ -322,9 +324,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[netip.Addr]*Link, len(l.links))
-	for link := range l.links {
-		if !link.isRetired() {
-			out[link.Peer] = link
+	for peer, links := range l.links {
+		for _, link := range links {
+			if !link.isRetired() {
+				out[peer] = link
+			}
 		}
 	}
 	return out
@@ -447,12 +451,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	links := make([]*Link, 0, len(l.links))
-	for link := range l.links {
-		links = append(links, link)
+	for _, ofPeer := range l.links {
+		links = append(links, ofPeer...)
 	}
 	return links
 }
 
+func (l *Linker) removeLink(link *Link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	remaining := slices.DeleteFunc(l.links[link.Peer], func(other *Link) bool { return other == link })
+	if len(remaining) == 0 {
+		delete(l.links, link.Peer)
+		return
+	}
+	l.links[link.Peer] = remaining
+}
+
 // checkLinks periodically checks all links for silent peers.
 func (l *Linker) checkLinks() {
 	repeater.Run(l.ctx, checkInterval, func(now time.Time) {
--- a/apricotd/mesher/readers.go
+++ b/apricotd/mesher/readers.go
@@ -29,6 +29,8 @@
 	readerTimeout    = time.Second
 	readerStagger    = 50 * time.Millisecond
 	maxReaderStagger = 600 * time.Millisecond
+	// maxReaderRank is the rank from which all nodes take over at the same time.
+	maxReaderRank = readersPerRegion + int(maxReaderStagger/readerStagger)
 	// announceFanOut is the number of linked nodes of the region to which a node that
 	// is no reader announces a change.
 	announceFanOut = 6
@@ -56,6 +58,8 @@
 	lastReaderHeartbeat time.Time             // last heartbeat of a reader that has access to the store
 	lastRegionHeartbeat time.Time             // last heartbeat of any node of the region
 	announcedRegions    map[netip.Addr]string // by node, from heartbeats
+	ordered             *lister.List          // the list to which orders belongs
+	orders              map[string][]netip.Addr
 }
 
 // recordBeat records a heartbeat. storeAvailable says that its sender is a reader
@@ -118,11 +122,12 @@
 }
 
 // readerRank returns the number of linked nodes that precede this node among the
-// candidates of the region. Nodes without a link are assumed to be down.
+// candidates of the region, at most maxReaderRank. Nodes without a link are assumed
+// to be down.
 func (r *readerSelector) readerRank() int {
 	rank := 0
 	for _, a := range r.candidates(r.Region) {
-		if a == r.Self {
+		if a == r.Self || rank == maxReaderRank {
 			return rank
 		}
 		if linked, _ := r.PeerState(a); linked {
@@ -132,20 +137,32 @@
 	return rank
 }
 
-// candidates returns the nodes of a region, sorted by readerHash.
+// candidates returns the nodes of a region, sorted by readerHash. The order is cached
+// until the server list changes; callers must not modify it.
 func (r *readerSelector) candidates(region string) []netip.Addr {
 	list := r.List()
 	if list == nil {
 		return nil
 	}
-	var out []netip.Addr
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ordered != list {
+		r.ordered, r.orders = list, ordersByRegion(list)
+	}
+	return r.orders[region]
+}
+
+// ordersByRegion returns the nodes of each region, sorted by readerHash.
+func ordersByRegion(list *lister.List) map[string][]netip.Addr {
+	orders := make(map[string][]netip.Addr)
 	for a := range list.Addresses {
-		if list.RegionOf(a) == region {
-			out = append(out, a)
-		}
+		region := list.RegionOf(a)
+		orders[region] = append(orders[region], a)
 	}
-	slices.SortFunc(out, func(a, b netip.Addr) int { return cmp.Compare(readerHash(a), readerHash(b)) })
-	return out
+	for _, order := range orders {
+		slices.SortFunc(order, func(a, b netip.Addr) int { return cmp.Compare(readerHash(a), readerHash(b)) })
+	}
+	return orders
 }
 
 // firstCandidates returns the first n candidates of every region.
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -136,6 +136,14 @@
 // not in state Ready are ignored.
 func (s *Syncer) ReportHealth(node netip.Addr, id string) {
 	s.mu.Lock()
+	if id == "" && !s.reportingNodes[node] {
+		s.mu.Unlock()
+		return
+	}
+	if s.reportingNodes == nil {
+		s.reportingNodes = make(map[netip.Addr]bool)
+	}
+	s.reportingNodes[node] = id != ""
 	changed := false
 	now := time.Now()
 	for _, e := range s.entries {
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -27,6 +27,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,6 +140,7 @@
 
 		mu                    sync.Mutex
 		entries               map[string]*entry
+		reportingNodes        map[netip.Addr]bool // nodes whose last health report named a server
 		position              sequencer.Position
 		eraStart              uint64             // revision at which this node entered the era
 		overridesEnd          time.Time          // when entries of a restored store apply even if they look older
