--- a/apricotd/internal/connection/linker/faulty_test.go
+++ b/apricotd/internal/connection/linker/faulty_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -141,6 +142,7 @@
 		}
 		stop()
 		time.Sleep(time.Second)
+		synctest.Wait()
 		if got := strings.Count(lines.String(), "\n"); got != 1 || !strings.Contains(lines.String(), "links=100") {
 			t.Errorf("log of the stop: got %d lines, want one that counts 100 links", got)
 		}
--- a/apricotd/internal/process/policer/policer_test.go
+++ b/apricotd/internal/process/policer/policer_test.go
@@ -272,6 +272,7 @@
 			}
 		}
 		send(100, 4*time.Second)
+		synctest.Wait()
 		f.losesReply = func() bool {
 			mu.Lock()
 			defer mu.Unlock()
--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -139,6 +139,7 @@
 			f.startNode(name)
 		}
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		defer f.close()
 		test(f)
 	})
