Tests: wait until a restarted node is assembled

A dial to the own address takes no virtual time, so nothing made the test wait. No program does this: Run assembles the node before it opens listeners.

--- a/apricotd/mesher/notices_test.go
+++ b/apricotd/mesher/notices_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -111,6 +112,7 @@
 	time.Sleep(downtime)
 	m.worker.start(f.t, f.network, m.worker.address)
 	f.startNode(name)
+	synctest.Wait() // until the node is assembled
 }
 
 // Guards against a server receiving more requests than the rate that it states,
