--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -279,3 +279,62 @@
 	defer mu.Unlock()
 	return broken
 }
+
+// regionsApart cuts the two regions off from each other, while a tenant sends more than
+// its rate in both.
+func regionsApart(log *record, trouble bool) (broken int) {
+	const rate, burst, window, overshoot, slack = 100.0, 50.0, 5.0, 0.25, 20.0
+	const limit = (rate*window+burst)*(1+overshoot) + slack
+	f := newFleetOf(log, []string{"catalogue", "catalogue", "catalogue", "catalogue"}, map[int]bool{2: true, 3: true}, map[string]any{
+		"r-search": route("/search/", "idempotent", "catalogue"),
+	}, map[string]any{"t-hot": map[string]any{"ApiKeys": []string{"k1"}, "Priority": 1, "RatePerS": rate, "Burst": burst}})
+	time.Sleep(2 * time.Second)
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i, m := range f.machines {
+		for j := range 8 {
+			wg.Go(func() { flood(log, fmt.Sprintf("hot%d.%d", i+1, j), m.callers, stop) })
+		}
+	}
+	time.Sleep(8 * time.Second)
+	if trouble {
+		log.add("the regions are cut off from each other")
+		f.cut.inForce.Store(true)
+	}
+	time.Sleep(20 * time.Second)
+	if trouble {
+		log.add("the cut ends")
+		f.cut.inForce.Store(false)
+	}
+	close(stop)
+	wg.Wait()
+	most, at := log.mostRuns(window)
+	log.add("most runs of the tenant in %.0f s: %d (to %.3f s); allowed: %.1f", window, most, at, limit)
+	if float64(most) > limit {
+		log.add("QUOTA: more requests of the tenant arrived and ran than its usage cap allows")
+		return 1
+	}
+	return 0
+}
+
+// flood sends requests of the tenant on kept connections, about 17 a second each.
+func flood(log *record, name, address string, stop <-chan struct{}) {
+	c := dial(log, name, address)
+	c.key = "k1"
+	_ = c.nc.SetDeadline(time.Now().Add(60 * time.Second))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		id, err := c.send(http.MethodGet, "/search/5/400", 2*time.Second, 0)
+		if err != nil {
+			log.add("client %s: %v", name, err)
+			return
+		}
+		if a := c.read(id, http.MethodGet, 0); a.err != nil || a.closes {
+			return
+		}
+	}
+}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,6 +17,7 @@
 	nc   *net.TCPConn
 	br   *bufio.Reader
 	sent int
+	key  string
 }
 
 func dial(log *record, name, address string) *client {
@@ -35,6 +36,9 @@
 	id = fmt.Sprintf("%s-%d", c.name, c.sent)
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Apricotrudder-Attempt-Id: %s\r\nX-Apricotrudder-Deadline-Ms: %d\r\n",
 		method, path, host, id, deadline.Milliseconds())
+	if c.key != "" {
+		head += "X-Api-Key: " + c.key + "\r\n"
+	}
 	if body > 0 || method == http.MethodPost {
 		head += fmt.Sprintf("Content-Length: %d\r\n", body)
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -32,6 +32,7 @@
 		start time.Time
 		file  *os.File
 		runs  map[string]int
+		times []float64 // of all runs, in seconds
 	}
 
 	// A machine has a node of the project, and an instance.
@@ -43,6 +44,9 @@
 		instance            *instance
 		ended               chan struct{}
 		killed              bool // by the platform, for its memory
+		zone, region        string
+		storeAt             string // where its node reaches the store
+		linkPort            int
 	}
 
 	// A fleet is a small deployment: the store and the machines.
@@ -50,9 +54,10 @@
 		log      *record
 		store    *store
 		storeAt  string
-		linkPort int
 		machines []*machine
 		dir      string
+		// cut is the partition between the regions. The store is in the first one.
+		cut cut
 	}
 )
 
@@ -74,6 +79,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id]++
+	r.times = append(r.times, time.Since(r.start).Seconds())
+}
+
+// mostRuns returns the greatest number of runs in any window, and when it ends.
+func (r *record) mostRuns(window float64) (most int, end float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := 0
+	for i, t := range r.times {
+		for r.times[first] <= t-window {
+			first++
+		}
+		if n := i - first + 1; n > most {
+			most, end = n, t
+		}
+	}
+	return most, end
 }
 
 func (r *record) runsOf(id string) int {
@@ -107,8 +129,18 @@
 	}
 }
 
-// newFleet starts a store, and a machine for each service, with the configuration.
+// The regions of a small deployment, by zone.
+var regions = map[string]string{"ba-petrzalka": "bratislava", "ke-juh": "kosice"}
+
+// newFleet starts a store, and a machine for each service, with the configuration. All
+// machines are in one region.
 func newFleet(log *record, services []string, routes map[string]any) *fleet {
+	return newFleetOf(log, services, nil, routes, nil)
+}
+
+// newFleetOf starts a store, and a machine for each service, with the configuration. A
+// service that is named in far has its machine in the other region.
+func newFleetOf(log *record, services []string, far map[int]bool, routes, tenants map[string]any) *fleet {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		fail("create folder: %v", err)
@@ -121,7 +153,14 @@
 	serviceTable := map[string]any{}
 	for i, service := range services {
 		serviceTable[service] = map[string]any{"HealthPath": "/health", "MaxConns": 316, "Protocol": "h1", "Tls": false}
-		m := &machine{name: fmt.Sprintf("sidecar-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), service: service}
+		m := &machine{name: fmt.Sprintf("sidecar-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", i+1), service: service, zone: "ba-petrzalka", storeAt: f.storeAt}
+		if far[i] {
+			m.zone = "ke-juh"
+			l := listen(m.ip + ":0")
+			m.storeAt = l.Addr().String()
+			go proxy(l, m.ip, f.storeAt, &f.cut)
+		}
+		m.region = regions[m.zone]
 		app := listen(m.ip + ":0")
 		m.app = app.Addr().String()
 		id := fmt.Sprintf("i-%d", i+1)
@@ -131,11 +170,22 @@
 		f.machines = append(f.machines, m)
 		go f.beat(id, m)
 	}
-	f.store.put("op/config", map[string]any{
+	config := map[string]any{
 		"Version": 7, "Routes": routes, "Services": serviceTable,
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
-	})
-	f.linkPort = freePort(f.machines)
+	}
+	if tenants != nil {
+		config["Tenants"] = tenants
+	}
+	f.store.put("op/config", config)
+	if len(far) > 0 {
+		f.linkThroughProxies()
+	} else {
+		port := freePort(f.machines)
+		for _, m := range f.machines {
+			m.linkPort = port
+		}
+	}
 	for _, m := range f.machines {
 		f.startNode(m)
 	}
@@ -145,13 +195,47 @@
 	return f
 }
 
-// beat registers an instance and renews its entry.
+// linkThroughProxies puts a proxy between the nodes of each pair of machines. A node
+// opens links to the port that it has itself, so each machine gets a port of its own,
+// and a proxy on every other machine's address listens on it.
+func (f *fleet) linkThroughProxies() {
+	for _, m := range f.machines {
+		m.linkPort = freePort(f.machines)
+		for _, other := range f.machines {
+			if other == m {
+				continue
+			}
+			c := &f.cut
+			if other.region == m.region {
+				c = &cut{}
+			}
+			l := listen(fmt.Sprintf("%s:%d", other.ip, m.linkPort))
+			go func() {
+				for other.linkPort == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				proxy(l, m.ip, fmt.Sprintf("%s:%d", other.ip, other.linkPort), c)
+			}()
+		}
+	}
+}
+
+// beat registers an instance and renews its entry. The store removes an entry after
+// three intervals of silence.
 func (f *fleet) beat(id string, m *machine) {
 	born := time.Now().UnixMilli()
-	for seq := 1; ; seq++ {
+	for seq, silent := 1, 0; ; seq++ {
+		for m.region != regions["ba-petrzalka"] && f.cut.inForce.Load() {
+			if silent++; silent == 3 {
+				f.store.remove("servers/" + id)
+				f.log.add("the store removes the entry of %s, which has been silent for three intervals", id)
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		silent = 0
 		f.store.put("servers/"+id, map[string]any{
 			"Address": m.app, "born": born,
-			"Info":   map[string]any{"Service": m.service, "Version": "v1", "Zone": "ba-petrzalka", "Slots": 36},
+			"Info":   map[string]any{"Service": m.service, "Version": "v1", "Zone": m.zone, "Slots": 36},
 			"Status": map[string]any{"State": "ready", "Seq": seq, "ColdLeftS": 0},
 		})
 		time.Sleep(1500 * time.Millisecond)
@@ -200,16 +284,20 @@
 	if from < 0 || to < 0 {
 		fail("template has no zones")
 	}
-	text = text[:from] + `"ba-petrzalka" = "bratislava"` + "\n" + text[to+len("{{/Zones}}"):]
+	zones := ""
+	for zone, region := range regions {
+		zones += fmt.Sprintf("%q = %q\n", zone, region)
+	}
+	text = text[:from] + zones + text[to+len("{{/Zones}}"):]
 	quoted := func(s string) string {
 		b, _ := json.Marshal(s)
 		return string(b)
 	}
 	for name, value := range map[string]string{
-		"{{Node|json}}": quoted(m.name), "{{Region|json}}": `"bratislava"`, "{{Zone|json}}": `"ba-petrzalka"`,
+		"{{Node|json}}": quoted(m.name), "{{Region|json}}": quoted(m.region), "{{Zone|json}}": quoted(m.zone),
 		"{{Service|json}}": quoted(m.service), "{{Listen.Outbound|json}}": quoted(m.callers),
-		"{{Listen.Ready|json}}": quoted(m.ready), "{{Ip}}": m.ip, "{{PortRange.0}}": strconv.Itoa(f.linkPort),
-		"{{HeartbeatS}}": "1.5", "{{AppAddr|json}}": quoted(m.app), "{{Platform.Address|json}}": quoted(f.storeAt),
+		"{{Listen.Ready|json}}": quoted(m.ready), "{{Ip}}": m.ip, "{{PortRange.0}}": strconv.Itoa(m.linkPort),
+		"{{HeartbeatS}}": "1.5", "{{AppAddr|json}}": quoted(m.app), "{{Platform.Address|json}}": quoted(m.storeAt),
 		"{{Limits.MemoryMb}}": strconv.Itoa(memoryMB), "{{Bounds.GraceS}}": strconv.Itoa(graceS),
 		"{{Bounds.QuotaOvershoot}}": "0.25", "{{Bounds.QuotaSlack}}": "20", "{{Bounds.QuotaWindowS}}": "5",
 		"{{Bounds.RetryWindowS}}": "10", "{{Bounds.RetryBudgetRatio}}": "0.2", "{{Bounds.BudgetSlack}}": "50",
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 	}
 	cases := map[string]func(log *record, trouble bool) int{
 		"hup": hup, "pipeline": pipeline, "slowread": slowRead, "upload": upload,
-		"latecall": lateCall,
+		"latecall": lateCall, "regions": regionsApart,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
