Keep SIGHUP caught until the process has exited

Callers saw: a node that had got SIGTERM and then SIGHUP closed all connections at once.

Cause: the goroutine that reloads the settings ended with the context that SIGTERM cancels, and its signal.Stop restored the default action of SIGHUP, which ends the process. apricotd never caught SIGHUP.

Fix: package signaler registers SIGHUP when it is initialised and never unregisters it; SIGTERM and SIGINT stay registered once caught. No order of these signals can meet a default action.

--- a/apricotd/main.go
+++ b/apricotd/main.go
@@ -5,14 +5,13 @@
 //	apricotd --config apricotd.toml          run until SIGTERM
 //	apricotd --config apricotd.toml --check  check the settings and exit
 //	apricotd --version
+//
+// A change of the settings needs a restart; SIGHUP has no effect.
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -21,6 +20,7 @@
 	"apricotrudder.dev/apricotd/certifier"
 	"apricotrudder.dev/apricotd/internal/process/loader"
 	"apricotrudder.dev/apricotd/internal/process/node"
+	"apricotrudder.dev/apricotd/signaler"
 )
 
 const (
@@ -79,9 +79,8 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return n.Run(ctx)
+	stop, _ := signaler.Catch()
+	return n.Run(stop)
 }
 
 func newLog(level string) *logrus.Logger {
--- a/standin/launcher/process_test.go
+++ b/standin/launcher/process_test.go
@@ -84,11 +84,13 @@
 
 // TestProcesses tests the faults that need real processes, one after the other
 // on the same fleet: a peer without a certificate, a graceful stop under load,
-// SIGKILL, and a node that is suspended while a key is revoked and then resumes.
+// SIGHUP before and during such a stop, SIGKILL, and a node that is suspended while a
+// key is revoked and then resumes.
 func TestProcesses(t *testing.T) {
 	f := newTestFleet(t)
 	t.Run("stranger", func(t *testing.T) { checkUnauthenticatedPeer(t, f) })
 	t.Run("graceful stop", func(t *testing.T) { checkGracefulStop(t, f) })
+	t.Run("hangup", func(t *testing.T) { checkHangup(t, f) })
 	t.Run("kill", func(t *testing.T) { checkKill(t, f) })
 	t.Run("late wake", func(t *testing.T) { checkLateResume(t, f) })
 }
@@ -124,6 +126,24 @@
 	checkAnsweredOrNotRun(t, g.Run(context.Background()))
 }
 
+// checkHangup sends SIGHUP to a node under load, and again while it stops. Guards
+// against a SIGHUP that ends a node with the requests that it is running.
+func checkHangup(t *testing.T, f *fleet) {
+	const victim = 2
+	g := f.newGenerator()
+	g.Targets = []netip.AddrPort{f.vms[0].callers, f.vms[8].callers}
+	signal := func(s syscall.Signal) func() {
+		return func() { _ = f.nodes[victim].Process.Signal(s) }
+	}
+	time.AfterFunc(time.Second, signal(syscall.SIGHUP))
+	time.AfterFunc(2*time.Second, signal(syscall.SIGTERM))
+	time.AfterFunc(2*time.Second+20*time.Millisecond, signal(syscall.SIGHUP))
+	checkAnsweredOrNotRun(t, g.Run(context.Background()))
+	if err := f.nodes[victim].Wait(); err != nil {
+		t.Errorf("node ended with %v, want no error after a graceful stop", err)
+	}
+}
+
 func checkAnsweredOrNotRun(t *testing.T, outcomes []loadgen.Outcome) {
 	t.Helper()
 	answered := 0
