Ignore SIGPIPE, so that a closed log pipe does not end the node

Callers saw: when the reader of a node's standard output went away, the node ended at its next log line with all requests that it was running.

Cause: the Go runtime ends a process that writes to a broken pipe on descriptor 1 or 2 unless SIGPIPE is ignored or caught.

Fix: package signaler ignores SIGPIPE; the write fails instead, and the log writer drops the lines.

--- a/apricotd/signaler/signaler.go
+++ b/apricotd/signaler/signaler.go
@@ -4,7 +4,8 @@
 // It guarantees that none of them ends the process: the first SIGTERM or SIGINT
 // asks for a graceful stop, later ones have no effect, and SIGHUP asks for a reload.
 // All of this holds until the process has exited, also while the node stops and
-// has requests left to answer.
+// has requests left to answer. SIGPIPE is ignored, so that a log whose reader has
+// gone is an error of that write and no more.
 //
 // # Usage
 //
@@ -12,7 +13,7 @@
 //	go watch(reload)
 //	err := node.Run(stop)
 //
-// SIGHUP is caught from the initialisation of the package on. SIGTERM and SIGINT
+// SIGHUP and SIGPIPE are handled from the initialisation of the package on. SIGTERM and SIGINT
 // end a process that has not called Catch yet, which has accepted no requests.
 package signaler
 
@@ -27,6 +28,11 @@
 // the process. It is never unregistered, for the same reason.
 var reloads = notify(syscall.SIGHUP)
 
+func init() {
+	// The runtime ends a process that writes to a broken pipe on descriptor 1 or 2.
+	signal.Ignore(syscall.SIGPIPE)
+}
+
 // Catch returns a context that ends with the first SIGTERM or SIGINT, and a
 // channel that receives a value after one or more SIGHUPs.
 func Catch() (stop context.Context, reload <-chan os.Signal) {
