Pass on a request during a stop only if its deadline is before the end

Cause: proxier refused callers' requests from 3 s on, but passed on calls of the own backend server until the end, whatever their deadline.

Fix: from 2.75 s on, each request whose deadline is not before the end of the drain is refused as not run. What is passed on has its answer, or no time left, when the node ends. Requests of callers that fit are served now.

--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -118,7 +118,7 @@
 		Metrics  *metrics.Set
 
 		balancer poolBalancer
-		closed   atomic.Bool
+		stopAt   atomic.Pointer[time.Time] // nil until Stop
 	}
 
 	// A request is the state of one request in the proxier.
@@ -142,9 +142,16 @@
 	}
 )
 
-// Close refuses callers' requests from now on. Running requests and the calls
-// of the own backend server continue.
-func (p *Proxier) Close() { p.closed.Store(true) }
+// Stop refuses, from now on, each request that may not have its answer by end,
+// whoever sends it. Running requests continue.
+func (p *Proxier) Stop(end time.Time) { p.stopAt.Store(&end) }
+
+// mayOutlast reports whether a request may not have its answer when the node
+// stops.
+func (p *Proxier) mayOutlast(rq *request) bool {
+	end := p.stopAt.Load()
+	return end != nil && rq.deadline.Add(resultGrace).After(*end)
+}
 
 // Serve answers one request. It returns nil if the caller has disconnected.
 func (p *Proxier) Serve(ctx context.Context, r *acceptor.Request) *acceptor.Response {
@@ -180,10 +187,10 @@
 	if o := p.authenticate(rq, tables); o != nil {
 		return o
 	}
-	if p.closed.Load() && !rq.isCall {
-		return refused{reason: reasonStopping, retryAfter: stoppingRetryAfter}
-	}
 	rq.deadline = p.deadline(rq)
+	if p.mayOutlast(rq) {
+		return refused{reason: reasonStopping, detail: "the node stops before the request's deadline", retryAfter: stoppingRetryAfter}
+	}
 	rq.pool = p.balancer.pick(route)
 	p.Budget.CountRequest(rq.pool)
 	if rq.isCall {
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -6,8 +6,9 @@
 // serves callers, once it has tables and a server list and has compared them with
 // those of a peer, or no peer has answered. A stopping node fails its readiness
 // check, accepts no new requests from peers after a grace period, serves callers
-// until they have had time to fail over, finishes the running requests, and only
-// then closes its connections.
+// until they have had time to fail over and then only those requests that it can
+// answer before it ends, finishes the running requests, and only then closes its
+// connections.
 //
 // # Usage
 //
@@ -77,8 +78,10 @@
 	// the drain ends. It is part of stopMargin.
 	closeTimeout = 300 * time.Millisecond
 	// callerDrainTime is how long callers may take to fail over from a stopping
-	// node: two failed health checks one second apart, plus the time of one check.
-	callerDrainTime = 3 * time.Second
+	// node: two failed health checks one second apart, plus the time of one check. It
+	// is below three seconds, since the platform counts from the signal, which may
+	// reach the process late.
+	callerDrainTime = 2750 * time.Millisecond
 	// peerDrainTime is how long a stopping node still accepts requests from peers.
 	peerDrainTime = 2 * time.Second
 	// The drain is complete after drainIdlePolls consecutive polls, one every
@@ -450,9 +453,9 @@
 //
 // Requests from peers are still accepted for peerDrainTime, because no other node
 // can reach the local backend server. Later ones might not be finished in time.
-// Requests from callers are refused after callerDrainTime for the same reason.
-// Calls made by the local backend server are still served after that, because they
-// belong to requests that are running.
+// After callerDrainTime, requests of callers and calls of the local backend server
+// are served only if their deadline is before the end of the drain: whatever is
+// passed on can then be answered.
 func (n *Node) drain() {
 	n.Log.WithField("vm", n.Settings.VM).Info("node is stopping")
 	start := time.Now()
@@ -464,7 +467,7 @@
 	n.invoker.Leave()
 	n.linker.Announce(nil)
 	time.Sleep(min(callerDrainTime-peerDrainTime, time.Until(deadline)))
-	n.proxier.Close()
+	n.proxier.Stop(deadline)
 	for idlePolls := 0; idlePolls < drainIdlePolls && time.Now().Before(deadline); idlePolls++ {
 		time.Sleep(drainPollInterval)
 		if n.isBusy() {
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"path"
 	"strings"
 	"sync"
 	"testing"
@@ -80,7 +81,7 @@
 	requestRun struct {
 		id, caller, organisation, key, target string
 		remaining                             string
-		at                                    time.Time
+		at, end                               time.Time
 		cancelled                             bool
 		failed                                bool // a downstream call failed
 	}
@@ -276,7 +277,8 @@
 	return false
 }
 
-// execute runs a request for the service time, or until the node disconnects. It
+// execute runs a request for the duration that ends its path or, without one, the
+// service time, or until the node disconnects. It
 // reports whether a downstream call failed.
 func (w *worker) execute(r *http.Request, disconnected <-chan struct{}) (failed bool) {
 	w.mu.Lock()
@@ -290,6 +292,9 @@
 	}
 	w.maxBusy = max(w.maxBusy, w.busy)
 	service := w.serviceTime
+	if d, err := time.ParseDuration(path.Base(r.URL.Path)); err == nil {
+		service = d
+	}
 	if w.fullSlowdown > 0 && w.busy >= w.slots {
 		service = time.Duration(float64(service) * w.fullSlowdown)
 	}
@@ -308,7 +313,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.busy--
-	w.recorded[index].cancelled, w.recorded[index].failed = cancelled, failed
+	w.recorded[index].cancelled, w.recorded[index].failed, w.recorded[index].end = cancelled, failed, time.Now()
 	return failed
 }
 
