Decide that a connection closes and note it in one step

Cause: canClose decided before the write, setClosing noted it after it.

Fix: closesAfter does both under the lock that begin takes.

--- a/apricotd/internal/connection/acceptor/conn.go
+++ b/apricotd/internal/connection/acceptor/conn.go
@@ -230,16 +230,12 @@
 		return false
 	}
 	method := ""
-	closing := response.Close
 	if e.request != nil {
 		method = e.request.Method
-		closing = closing || !e.request.KeepAlive || c.canClose()
 	}
+	closing := c.closesAfter(e, response)
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	parser.WriteResponse(bw, method, response.Status, response.Fields, response.Body, closing)
-	if closing {
-		c.setClosing()
-	}
 	if err := bw.Flush(); err != nil {
 		_ = c.nc.Close()
 		return false
@@ -252,12 +248,16 @@
 	return true
 }
 
-// canClose reports whether the acceptor is shutting down and the connection can
-// be closed without dropping a request that has started or is being read.
-func (c *conn) canClose() bool {
+// closesAfter reports whether a response closes the connection. If so, no further
+// request is accepted from then on, because writing the response may take long. A
+// connection that closes because the acceptor is shutting down must have no other
+// request that has started or is being read.
+func (c *conn) closesAfter(e *exchange, response *Response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.acceptor.draining.Load() && c.pending == 1 && c.readDeadline.IsZero()
+	c.closing = c.closing || response.Close || e.request != nil && !e.request.KeepAlive ||
+		c.acceptor.draining.Load() && c.pending == 1 && c.readDeadline.IsZero()
+	return c.closing
 }
 
 func (c *conn) responseWritten() {
@@ -302,12 +302,6 @@
 	c.applyReadDeadline()
 }
 
-func (c *conn) setClosing() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-}
-
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
