Answer requests that outlast a stopping node, and those behind them

Callers saw: of two requests sent on one connection to a stopping node, the second was run and its response had arrived; the first outlasted the node, the connection was closed at the end, and neither was answered (LOST).

Cause: responses are written in request order, and the end of a stop closed the connections whose first response was missing.

Fix: 0.5 s before the end of the grace time, running requests are cancelled and answered 502 (may have run), the responses behind them are written, and those not started are refused 503. Connections are closed 0.1 s later. The steps shrink with short grace times. Requests that were read as the node found itself idle have until the same step, where they had 0.3 s.

--- a/apricotd/internal/connection/acceptor/acceptor.go
+++ b/apricotd/internal/connection/acceptor/acceptor.go
@@ -1,9 +1,10 @@
 // Package acceptor is the HTTP/1.1 server for callers' connections.
 //
 // It guarantees that responses are written in request order, that a response is
-// either written completely or its connection is closed, and that the context
+// either written completely or its connection is closed, that the context
 // of a request is cancelled as soon as the client closes the connection, even
-// if pipelined requests behind it have not been read.
+// if pipelined requests behind it have not been read, and that a request which
+// outlasts the acceptor does not take the responses behind it along.
 //
 // # Usage
 //
@@ -49,6 +50,10 @@
 	bufferBytes   = 4 << 10
 )
 
+// ErrStopping is the cause with which the contexts of running requests end when the
+// acceptor closes.
+var ErrStopping = errors.New("node is stopping")
+
 type (
 	// A Request is one request with its complete body.
 	Request struct {
@@ -71,7 +76,8 @@
 	Acceptor struct {
 		// Limits returns the current limits.
 		Limits func() resolver.Limits
-		// Serve handles one request. A nil response closes the connection.
+		// Serve handles one request. A nil response closes the connection. If the
+		// context ends with ErrStopping, the response is still written.
 		Serve func(ctx context.Context, r *Request) *Response
 		// ErrorResponse returns the error response to a message that is malformed
 		// or too large, or that was not received in time.
@@ -106,11 +112,11 @@
 			}
 			return fmt.Errorf("accept connection: %w", err)
 		}
-		c := newConn(a, nc)
+		c := newConn(ctx, a, nc)
 		a.add(c)
 		go func() {
 			defer a.remove(c)
-			c.serve(ctx)
+			c.serve()
 		}()
 	}
 }
@@ -127,10 +133,11 @@
 	return int(a.active.Load())
 }
 
-// Close accepts no further connections and requests, closes connections as soon as
-// the requests that have been read on them are answered, and closes the remaining
-// ones after the timeout.
-func (a *Acceptor) Close(timeout time.Duration) {
+// Close accepts no further connections and requests, and closes connections as soon
+// as the requests that have been read on them are answered. At breakOff it cancels the
+// requests that are left, with ErrStopping, and at end it closes the connections whose
+// responses have not been written by then.
+func (a *Acceptor) Close(breakOff, end time.Time) {
 	a.Drain()
 	a.closed.Store(true)
 	a.mu.Lock()
@@ -138,13 +145,25 @@
 		_ = a.listener.Close()
 	}
 	a.mu.Unlock()
-	for deadline := time.Now().Add(timeout); time.Now().Before(deadline) && a.closeIdle() > 0; {
+	a.closeIdleUntil(breakOff)
+	a.eachConn(func(c *conn) { c.cancel(ErrStopping) })
+	a.closeIdleUntil(end)
+	a.eachConn(func(c *conn) { _ = c.nc.Close() })
+}
+
+// closeIdleUntil closes connections that are or become idle, until there are no
+// others or the time has come.
+func (a *Acceptor) closeIdleUntil(end time.Time) {
+	for time.Now().Before(end) && a.closeIdle() > 0 {
 		time.Sleep(closePollInterval)
 	}
+}
+
+func (a *Acceptor) eachConn(do func(c *conn)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
-		_ = c.nc.Close()
+		do(c)
 	}
 }
 
--- a/apricotd/internal/connection/acceptor/conn.go
+++ b/apricotd/internal/connection/acceptor/conn.go
@@ -22,9 +22,10 @@
 		acceptor *Acceptor
 		nc       net.Conn
 		br       *bufio.Reader
-		pipeline chan *exchange // in request order
-		last     *exchange      // the most recently read request
-		cancel   context.CancelFunc
+		pipeline chan *exchange  // in request order
+		last     *exchange       // the most recently read request
+		ctx      context.Context // of the requests
+		cancel   context.CancelCauseFunc
 
 		mu           sync.Mutex
 		pending      int           // requests without a written response
@@ -42,8 +43,11 @@
 	}
 )
 
-func newConn(a *Acceptor, nc net.Conn) *conn {
+func newConn(ctx context.Context, a *Acceptor, nc net.Conn) *conn {
+	ctx, cancel := context.WithCancelCause(ctx)
 	return &conn{
+		ctx:         ctx,
+		cancel:      cancel,
 		acceptor:    a,
 		nc:          nc,
 		br:          bufio.NewReaderSize(nc, bufferBytes),
@@ -53,16 +57,15 @@
 	}
 }
 
-func (c *conn) serve(ctx context.Context) {
-	ctx, c.cancel = context.WithCancel(ctx)
+func (c *conn) serve() {
 	defer c.nc.Close()
-	defer c.cancel()
+	defer c.cancel(nil)
 	var wg sync.WaitGroup
 	wg.Go(c.writeResponses)
-	for c.readRequest(ctx) {
+	for c.readRequest() {
 	}
 	if !c.isClosing() {
-		c.cancel()
+		c.cancel(nil)
 	}
 	close(c.pipeline)
 	wg.Wait()
@@ -71,7 +74,7 @@
 
 // readRequest reads one request and starts its handler. It returns false if the
 // connection must not be read any further.
-func (c *conn) readRequest(ctx context.Context) bool {
+func (c *conn) readRequest() bool {
 	if !c.waitForRequest() {
 		return false
 	}
@@ -97,7 +100,7 @@
 	if !c.begin() {
 		return false
 	}
-	c.startRequest(ctx, &Request{Request: request, Body: body, Received: time.Now()})
+	c.startRequest(&Request{Request: request, Body: body, Received: time.Now()})
 	return request.KeepAlive || c.discardUntilClose()
 }
 
@@ -148,7 +151,7 @@
 	}
 }
 
-func (c *conn) startRequest(ctx context.Context, r *Request) {
+func (c *conn) startRequest(r *Request) {
 	e := &exchange{request: r, response: make(chan *Response, 1), written: make(chan struct{})}
 	previous := c.last
 	c.last = e
@@ -158,23 +161,26 @@
 		if previous != nil && !isSafe(r.Method) {
 			select {
 			case <-previous.written:
-			case <-ctx.Done():
+			case <-c.ctx.Done():
 			}
 		}
-		if ctx.Err() != nil {
-			e.response <- nil
-			return
-		}
-		e.response <- c.serveRequest(ctx, r)
+		e.response <- c.serveRequest(r)
 	}()
 }
 
-// serveRequest calls the acceptor's Serve. After a panic the request may have run.
-func (c *conn) serveRequest(ctx context.Context, r *Request) (response *Response) {
+// serveRequest calls the acceptor's Serve, unless the context has ended before. After
+// a panic the request may have run.
+func (c *conn) serveRequest(r *Request) (response *Response) {
+	if c.ctx.Err() != nil {
+		if errors.Is(context.Cause(c.ctx), ErrStopping) {
+			return c.acceptor.ErrorResponse(http.StatusServiceUnavailable, "stopping")
+		}
+		return nil
+	}
 	defer catcher.Catch(c.acceptor.Log, "serve request", func() {
 		response = c.acceptor.ErrorResponse(http.StatusBadGateway, "internal")
 	})
-	return c.acceptor.Serve(ctx, r)
+	return c.acceptor.Serve(c.ctx, r)
 }
 
 // reject sends an error response to a message that could not be read and closes
@@ -218,7 +224,7 @@
 		close(e.written)
 		c.acceptor.active.Add(-1)
 		if failed {
-			c.cancel()
+			c.cancel(nil)
 		}
 	}
 }
@@ -251,12 +257,12 @@
 // closesAfter reports whether a response closes the connection. If so, no further
 // request is accepted from then on, because writing the response may take long. A
 // connection that closes because the acceptor is shutting down must have no other
-// request that has started or is being read.
+// request that has started or, until Close, is being read.
 func (c *conn) closesAfter(e *exchange, response *Response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = c.closing || response.Close || e.request != nil && !e.request.KeepAlive ||
-		c.acceptor.draining.Load() && c.pending == 1 && c.readDeadline.IsZero()
+		c.acceptor.draining.Load() && c.pending == 1 && (c.readDeadline.IsZero() || c.acceptor.closed.Load())
 	return c.closing
 }
 
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -61,6 +61,24 @@
 func (refused) outcome()  {}
 func (unknown) outcome()  {}
 
+// brokenOff returns an outcome with the reason that the node stops, if the request was
+// cancelled for that reason.
+func brokenOff(o outcome) outcome {
+	switch o := o.(type) {
+	case refused:
+		if o.reason == invoker.Cancelled {
+			o.reason, o.retryAfter = reasonStopping, stoppingRetryAfter
+		}
+		return o
+	case unknown:
+		if o.reason == invoker.Cancelled {
+			o.reason = reasonStopping
+		}
+		return o
+	}
+	return o
+}
+
 func (p *Proxier) respond(o outcome) *acceptor.Response {
 	switch o := o.(type) {
 	case answered:
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
@@ -153,15 +154,20 @@
 	return end != nil && rq.deadline.Add(resultGrace).After(*end)
 }
 
-// Serve answers one request. It returns nil if the caller has disconnected.
+// Serve answers one request. It returns nil if the caller has disconnected. A request
+// that still runs when the node stops is answered with what is known of it.
 func (p *Proxier) Serve(ctx context.Context, r *acceptor.Request) *acceptor.Response {
 	rq := &request{Request: r, id: r.Fields.Get(p.Names.RequestID)}
 	o := p.admit(ctx, rq)
 	if o == nil {
 		o = p.run(ctx, rq)
 	}
+	stopping := errors.Is(context.Cause(ctx), acceptor.ErrStopping)
+	if stopping {
+		o = brokenOff(o)
+	}
 	p.recordOutcome(rq, o)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !stopping {
 		return nil
 	}
 	return p.respond(o)
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -71,12 +71,17 @@
 	// memoryLimitRatio is the Go runtime's soft memory limit as a fraction of
 	// Limits.MemoryMB.
 	memoryLimitRatio = 0.7
-	// stopMargin is the part of Limits.StopWithin that is reserved for closing
-	// connections after the drain.
-	stopMargin = 700 * time.Millisecond
-	// closeTimeout bounds the time to answer the requests that have been read when
-	// the drain ends. It is part of stopMargin.
-	closeTimeout = 300 * time.Millisecond
+	// A stop has steps at these times before the end of Limits.StopWithin: nothing
+	// more is accepted, running requests are broken off, connections are closed.
+	// A shorter StopWithin than maxStopMargin times stopMarginDivisor has
+	// proportionally shorter ones.
+	maxStopMargin     = 700 * time.Millisecond
+	breakOffMargin    = 500 * time.Millisecond
+	exitMargin        = 400 * time.Millisecond
+	stopMarginDivisor = 6
+	// failureCloseTime is how long running requests may take after one of the
+	// node's servers has failed.
+	failureCloseTime = 300 * time.Millisecond
 	// callerDrainTime is how long callers may take to fail over from a stopping
 	// node: two failed health checks one second apart, plus the time of one check. It
 	// is below three seconds, since the platform counts from the signal, which may
@@ -177,8 +182,9 @@
 	case <-ctx.Done():
 		n.drain()
 	case err = <-failures:
+		end := time.Now().Add(failureCloseTime)
+		n.acceptor.Close(end, end)
 	}
-	n.acceptor.Close(closeTimeout)
 	stop()
 	n.exchanger.Close()
 	wg.Wait()
@@ -448,8 +454,23 @@
 	return listener, nil
 }
 
-// drain stops accepting requests step by step and waits for the running ones, at
-// most until stopMargin before Limits.StopWithin has passed.
+// A stopPlan holds the times at which the last steps of a stop begin.
+type stopPlan struct {
+	last     time.Time // nothing more is accepted
+	breakOff time.Time // running requests are broken off
+	end      time.Time // connections are closed
+}
+
+func newStopPlan(start time.Time, within time.Duration) stopPlan {
+	margin := min(maxStopMargin, within/stopMarginDivisor)
+	before := func(d time.Duration) time.Time {
+		return start.Add(within - d*margin/maxStopMargin)
+	}
+	return stopPlan{last: before(maxStopMargin), breakOff: before(breakOffMargin), end: before(exitMargin)}
+}
+
+// drain stops accepting requests step by step, waits for the running ones, and closes
+// the connections of callers. It ends by the end of the plan.
 //
 // Requests from peers are still accepted for peerDrainTime, because no other node
 // can reach the local backend server. Later ones might not be finished in time.
@@ -459,21 +480,25 @@
 func (n *Node) drain() {
 	n.Log.WithField("vm", n.Settings.VM).Info("node is stopping")
 	start := time.Now()
+	plan := newStopPlan(start, time.Duration(n.Settings.Limits.StopWithin))
 	n.stopping.Store(true)
 	n.acceptor.Drain()
-	deadline := start.Add(time.Duration(n.Settings.Limits.StopWithin) - stopMargin)
-	time.Sleep(min(peerDrainTime, time.Until(deadline)))
+	time.Sleep(min(peerDrainTime, time.Until(plan.last)))
 	n.leaving.Store(true)
 	n.invoker.Leave()
 	n.linker.Announce(nil)
-	time.Sleep(min(callerDrainTime-peerDrainTime, time.Until(deadline)))
-	n.proxier.Stop(deadline)
-	for idlePolls := 0; idlePolls < drainIdlePolls && time.Now().Before(deadline); idlePolls++ {
+	time.Sleep(min(callerDrainTime-peerDrainTime, time.Until(plan.last)))
+	n.proxier.Stop(plan.last)
+	for idlePolls := 0; idlePolls < drainIdlePolls && time.Now().Before(plan.last); idlePolls++ {
 		time.Sleep(drainPollInterval)
 		if n.isBusy() {
 			idlePolls = -1
 		}
 	}
+	n.acceptor.Close(plan.breakOff, plan.end)
+	for n.isBusy() && time.Now().Before(plan.breakOff) {
+		time.Sleep(drainPollInterval)
+	}
 }
 
 func (n *Node) isBusy() bool {
