Refuse requests that must not be repeated and may outlast a stopping node

Callers saw: where the stops of two nodes overlapped, a grant or order that the first had accepted from the second for its server was broken off, and its caller got a 502 while the server was at work.

Cause: a stopping node accepts peers' requests for 2 s, whatever their deadline.

Fix: from the start of the stop, the invoker refuses a request that must not be repeated and whose deadline is not before the end of the drain; another server can run it.

--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -50,6 +50,7 @@
 const (
 	WrongPool   = "wrongPool"   // the backend server belongs to another pool
 	Leaving     = "leaving"     // the server or its node accepts no new requests
+	Stopping    = "stopping"    // the node ends before the request's deadline
 	Overloaded  = "overloaded"  // no slot became free in time
 	Unreachable = "unreachable" // the server does not accept connections
 	Shed        = "shed"        // the server stated that it has not run the request
@@ -101,6 +102,7 @@
 	Downstream func(route string) throttler.Overload
 
 	leaving         atomic.Bool
+	stopAt          atomic.Pointer[time.Time] // nil until Stop
 	waiting         atomic.Int64
 	sent            atomic.Int64 // requests sent to the server
 	limit           atomic.Int64 // concurrency limit
@@ -110,6 +112,11 @@
 	repeatFraction float64 // moving average of the repeat probability of runs
 }
 
+// Stop makes the invoker refuse requests that must not be repeated and may not have
+// their answer by end, those of peers and of this node. Another node may be able to
+// finish them.
+func (i *Invoker) Stop(end time.Time) { i.stopAt.Store(&end) }
+
 // Leave makes the invoker refuse all requests that it has not sent yet, those
 // of peers and of this node.
 func (i *Invoker) Leave() { i.leaving.Store(true) }
@@ -191,6 +198,9 @@
 	if refusal := i.check(run); refusal != nil {
 		return refusal
 	}
+	if end := i.stopAt.Load(); end != nil && !run.Idempotent && deadline.After(*end) {
+		return refusalResult(Stopping, "the node of the backend server ends before the request's deadline", 0)
+	}
 	if i.Quarantine.HasSuspects() && i.Quarantine.IsQuarantined(fingerprint(run)) {
 		return refusalResult(Quarantined, "backend servers crashed that ran it", QuarantineRetryAfter)
 	}
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -19,7 +19,7 @@
 // Reasons for refusals by this node.
 const (
 	reasonStarting     = "starting"
-	reasonStopping     = "stopping"
+	reasonStopping     = invoker.Stopping
 	reasonNoRoute      = "noRoute"
 	reasonKeyUnknown   = "keyUnknown"
 	reasonRateExceeded = "rateExceeded"
--- a/apricotd/mesher/drawnstop_test.go
+++ b/apricotd/mesher/drawnstop_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"apricotrudder.dev/apricotd/version/lister"
 )
 
 var stopSeeds = flag.Int("stopSeeds", 12, "number of drawn stops")
@@ -67,3 +69,31 @@
 	}
 	return out
 }
+
+// Guards against requests that are lost where the stops of several nodes overlap, as in
+// a rolling restart.
+func TestOverlappingStops(t *testing.T) {
+	for seed := range *stopSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			startStopFleet(t, func(f *fleet) {
+				for name, pool := range map[string]string{"e": "orders", "f": "stock", "g": "search"} {
+					f.addVM(name, placement{"north", "north-1", pool})
+					f.vms[name].worker.slots = 200
+					f.publishServer(name, lister.Ready)
+					f.startNode(name)
+				}
+				time.Sleep(3 * time.Second)
+				draw := rand.New(rand.NewPCG(uint64(seed), 34))
+				requests := drawStopRequests(draw, 150)
+				stop := time.Now().Add(4 * time.Second)
+				time.AfterFunc(time.Until(stop), f.vms["a"].cancel)
+				for _, name := range []string{"b", "c", "d"} {
+					offset := time.Duration(draw.Int64N(int64(8*time.Second))) - 4*time.Second
+					time.AfterFunc(time.Until(stop.Add(offset)), f.vms[name].cancel)
+				}
+				f.sendAround("a", stop, requests)
+				f.checkStops(stop, requests)
+			})
+		})
+	}
+}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -473,7 +473,9 @@
 // the connections of callers. It ends by the end of the plan.
 //
 // Requests from peers are still accepted for peerDrainTime, because no other node
-// can reach the local backend server. Later ones might not be finished in time.
+// can reach the local backend server. Later ones might not be finished in time; those
+// that must not be repeated are accepted only if their deadline is before the end of
+// the drain.
 // After callerDrainTime, requests of callers and calls of the local backend server
 // are served only if their deadline is before the end of the drain: whatever is
 // passed on can then be answered.
@@ -482,6 +484,7 @@
 	start := time.Now()
 	plan := newStopPlan(start, time.Duration(n.Settings.Limits.StopWithin))
 	n.stopping.Store(true)
+	n.invoker.Stop(plan.last)
 	n.acceptor.Drain()
 	time.Sleep(min(peerDrainTime, time.Until(plan.last)))
 	n.leaving.Store(true)
