--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -60,7 +60,7 @@
 // meanings explain the outcomes of requests other than answered.
 var meanings = map[string]string{
 	"starting":         "this node refused it, because it had just started and had no tables yet; no server was asked",
-	"stopping":         "this node refused it, because it was stopping; no server was asked",
+	"stopping":         "a node that is stopping refused it, because it could have ended before the answer; it has not run",
 	"noRoute":          "this node refused it, because its tables have no route for the host and path",
 	"keyUnknown":       "this node refused it, because its tables do not have the key",
 	"rateExceeded":     "the owner of the organisation's bucket refused it, because the organisation had used up its rate; no server was asked",
@@ -78,6 +78,7 @@
 	"unclearUnknown":   "the server answered and contradicted itself, or did not tell whether it has run it; it may have run",
 	"expiredUnknown":   "it was sent, and its deadline passed before the answer; it may have run",
 	"cancelledUnknown": "its caller disconnected while it was running",
+	"stoppingUnknown":  "this node ended while it was running; it may have run",
 	"internalUnknown":  "a node's code failed while it was running; it may have run",
 }
 
