--- a/apricotd/mesher/stop_test.go
+++ b/apricotd/mesher/stop_test.go
@@ -84,3 +84,19 @@
 		t.Logf("requests without a response: %d", len(unanswered))
 	})
 }
+
+// Guards against a short grace time in which requests are broken off before its last
+// sixth, which alone excuses that they are not answered.
+func TestStopPlanBreaksOffInLastSixth(t *testing.T) {
+	start := time.Now()
+	for _, within := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 4 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		p := newStopPlan(start, within)
+		end := start.Add(within)
+		if !p.last.Before(p.breakOff) || !p.breakOff.Before(p.end) || !p.end.Before(end) {
+			t.Errorf("plan for %v: got steps at %v, %v and %v, want them in this order before the end", within, p.last.Sub(start), p.breakOff.Sub(start), p.end.Sub(start))
+		}
+		if p.breakOff.Before(start.Add(within * 5 / 6)) {
+			t.Errorf("plan for %v: requests are broken off at %v, want the last sixth", within, p.breakOff.Sub(start))
+		}
+	}
+}
