--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -119,6 +119,9 @@
 		// IsLeaving reports whether a server has stated that it is leaving. If
 		// nil, no server has.
 		IsLeaving func(*lister.Server) bool
+		// IsEvacuated reports whether the servers of a data centre may get no
+		// requests. If nil, no data centre is evacuated.
+		IsEvacuated func(dataCentre string) bool
 
 		mu      sync.Mutex
 		records map[string]*serverRecord // by server id
@@ -130,6 +133,8 @@
 		// Call is true for a call of a backend server, false for a caller's request.
 		Call bool
 		Rank int // priority; 0 is the most urgent
+		// Regions are the only regions whose servers may be selected; nil means any.
+		Regions []string
 	}
 
 	// A Choice is a server selected for one attempt.
@@ -218,6 +223,10 @@
 		return "could not be reached"
 	case r != nil && r.hasNoRoom(rq, now):
 		return "without room"
+	case !rq.mayRunIn(s.Region):
+		return "outside the home regions"
+	case p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre):
+		return "in an evacuated data centre"
 	case !p.isEligible(s, rq, now):
 		return "announced as leaving or on a silent node"
 	}
@@ -299,9 +308,17 @@
 	}
 }
 
-// isEligible reports whether a server is neither skipped after an earlier result,
-// nor announced as leaving, nor on a silent node.
+func (rq *Request) mayRunIn(region string) bool {
+	return rq.Regions == nil || slices.Contains(rq.Regions, region)
+}
+
+// isEligible reports whether a server is in a region and a data centre where the request
+// may run, and neither skipped after an earlier result, nor announced as leaving, nor on
+// a silent node.
 func (p *Picker) isEligible(s *lister.Server, rq Request, now time.Time) bool {
+	if !rq.mayRunIn(s.Region) || p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre) {
+		return false
+	}
 	if r := p.records[s.ID]; r != nil && (now.Before(r.avoidUntil) || r.hasNoRoom(rq, now)) {
 		return false
 	}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -316,7 +316,7 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving}
+	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
@@ -435,6 +435,12 @@
 	return initialLimits
 }
 
+// isEvacuated reports whether the operator has had a data centre evacuated.
+func (n *Node) isEvacuated(dataCentre string) bool {
+	list := n.syncer.List()
+	return list != nil && list.IsEvacuated(dataCentre)
+}
+
 func (n *Node) organisation(name string) (*resolver.Organisation, bool) {
 	r := n.syncer.Resolver()
 	if r == nil {
--- a/apricotd/version/lister/lister.go
+++ b/apricotd/version/lister/lister.go
@@ -73,6 +73,17 @@
 		placeByVM      map[netip.Addr]place  // by VM address
 		vmsPerRegion   map[string]int        // by region
 		absentByRegion map[string][]AbsentVM // sorted by address
+		evacuations    []Evacuation          // sorted by data centre
+	}
+
+	// An Evacuation is an operator's request that the backend servers of a data centre
+	// get no requests.
+	Evacuation struct {
+		DataCentre string
+		// Revision is that of the operator's request in the store.
+		Revision uint64
+		// Since is when this node learned of it.
+		Since time.Time
 	}
 )
 
@@ -120,6 +131,22 @@
 	}
 }
 
+// SetEvacuations sets the evacuations in force, at most one for each data centre. It must
+// be called before the list is used by others.
+func (l *List) SetEvacuations(evacuations []Evacuation) {
+	l.evacuations = slices.SortedFunc(slices.Values(evacuations), func(a, b Evacuation) int {
+		return cmp.Compare(a.DataCentre, b.DataCentre)
+	})
+}
+
+// Evacuations returns the evacuations in force, sorted by data centre.
+func (l *List) Evacuations() []Evacuation { return l.evacuations }
+
+// IsEvacuated reports whether the backend servers of a data centre may get no requests.
+func (l *List) IsEvacuated(dataCentre string) bool {
+	return slices.ContainsFunc(l.evacuations, func(e Evacuation) bool { return e.DataCentre == dataCentre })
+}
+
 // AbsentRegions returns the sorted names of the regions that have absent VMs.
 func (l *List) AbsentRegions() []string {
 	return slices.Sorted(maps.Keys(l.absentByRegion))
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -51,6 +51,9 @@
 		// WeightedPools are the pools between which requests are split, at least
 		// one.
 		WeightedPools []WeightedPool
+		// HomeRegions are the only regions in which requests may be served; none
+		// means any.
+		HomeRegions []string
 	}
 
 	// A WeightedPool is one pool of a route's traffic split with its weight.
@@ -64,6 +67,11 @@
 		Name string
 		// HealthPath is the path of the health check of its backend servers.
 		HealthPath string
+		// ColdStart is how long a backend server stays cold after its start.
+		ColdStart time.Duration
+		// ColdRate is the number of requests per second that a cold backend server
+		// tolerates; 0 means no limit.
+		ColdRate float64
 	}
 
 	// An Organisation is a customer. Its callers authenticate with its keys.
@@ -78,6 +86,9 @@
 		// rank if HasRank is set; 0 is the highest.
 		Rank    int
 		HasRank bool
+		// HomeRegions are the only regions in which its requests may be served; none
+		// means any.
+		HomeRegions []string
 	}
 
 	// Limits bounds the size of requests, the time a caller takes to send the
