An answer whose status is none of HTTP is no answer

Cause: parser had no upper bound on the status and skipped 101 as an interim response, the links accepted an answer with any three digits, and apricotd's own node relied on net/http, which accepts 000 and panics when it is written: the caller's connection ended without an answer. Only 000 to 099 at the node on the users' platform were rejected already.

Change: a status line must have 100 to 599, except 101, and no carriage return or NUL; an answer in a frame, from a peer or from net/http must have 200 to 599. The request may have run: 502, and no second attempt unless it may be repeated.

--- a/apricotd/internal/connection/dispatcher/dispatcher.go
+++ b/apricotd/internal/connection/dispatcher/dispatcher.go
@@ -157,6 +157,9 @@
 }
 
 func readResponse(ctx context.Context, response *http.Response, limit int64) reporter.Outcome {
+	if !reporter.IsFinalStatus(response.StatusCode) {
+		return reporter.Unknown{Reason: reporter.BackendFailed, Detail: fmt.Sprintf("got an answer with status %03d, want 200 to 599", response.StatusCode)}
+	}
 	if response.ContentLength > limit {
 		return reporter.Unknown{Reason: reporter.AnswerTooLarge, Detail: fmt.Sprintf("got an answer of %d bytes, want at most %d", response.ContentLength, limit)}
 	}
--- a/apricotd/internal/connection/linker/check.go
+++ b/apricotd/internal/connection/linker/check.go
@@ -11,7 +11,7 @@
 // Statuses that the answer in a result may have.
 const (
 	minFinalStatus = 200
-	maxStatus      = 999
+	maxStatus      = 599
 )
 
 var errMalformed = errors.New("frame is malformed")
--- a/apricotd/internal/connection/linker/linker_test.go
+++ b/apricotd/internal/connection/linker/linker_test.go
@@ -191,6 +191,19 @@
 	})
 }
 
+// Guards against an answer in a frame whose status is none of a final response, such as
+// 0, being passed on to a caller.
+func TestStatusesOfAnswersInFrames(t *testing.T) {
+	for _, status := range []uint32{0, 1, 99, 100, 101, 103, 199, 200, 204, 299, 404, 503, 599, 600, 999, 1000, math.MaxUint32} {
+		err := check(&linkwire.Frame{Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{
+			Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{Status: status}},
+		}}})
+		if want := status >= 200 && status <= 599; want != (err == nil) {
+			t.Errorf("answer with status %d: got error %v, want it accepted: %v", status, err, want)
+		}
+	}
+}
+
 // Guards against a malformed frame that takes the process down.
 func TestMalformedFramesCloseTheirLink(t *testing.T) {
 	nan := math.NaN()
--- a/apricotd/internal/connection/parser/parser.go
+++ b/apricotd/internal/connection/parser/parser.go
@@ -21,6 +21,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httputil"
 	"net/textproto"
 	"strconv"
@@ -53,6 +54,9 @@
 	unreservedBytes = 64 << 10
 	// maxTrailerBytes bounds the trailer section of a chunked body.
 	maxTrailerBytes = 64 << 10
+	// Statuses of HTTP. The first digit gives the class, of which there are five.
+	minStatus = 100
+	maxStatus = 599
 )
 
 type (
@@ -203,11 +207,9 @@
 // ParseResponse parses the head of a response to a request with the method.
 func ParseResponse(head []byte, method string) (*Response, error) {
 	line, rest := cutLine(string(head))
-	proto, line, _ := strings.Cut(line, " ")
-	code, _, _ := strings.Cut(line, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil || len(code) != 3 || status < 100 || (proto != "HTTP/1.1" && proto != "HTTP/1.0") {
-		return nil, fmt.Errorf("parse status line: %w", ErrMalformed)
+	status, proto, err := parseStatusLine(line)
+	if err != nil {
+		return nil, err
 	}
 	fields, err := parseFields(rest)
 	if err != nil {
@@ -221,6 +223,25 @@
 	return r, nil
 }
 
+// parseStatusLine parses a status line. A status must be one of HTTP, 100 to 599. It
+// must not be 101 because no request asks for another protocol.
+func parseStatusLine(line string) (status int, proto string, err error) {
+	proto, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if len(code) == 3 && isDigits(code) {
+		status, err = strconv.Atoi(code)
+	}
+	switch {
+	case err != nil || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols:
+		return 0, "", fmt.Errorf("parse status %.16q: %w", code, ErrMalformed)
+	case proto != "HTTP/1.1" && proto != "HTTP/1.0":
+		return 0, "", fmt.Errorf("parse protocol %.16q: %w", proto, ErrMalformed)
+	case strings.ContainsAny(line, "\r\x00"):
+		return 0, "", fmt.Errorf("parse reason: %w", ErrMalformed)
+	}
+	return status, proto, nil
+}
+
 // ReadBody reads a complete body of at most limit bytes. A nil memory does not limit
 // what all bodies occupy together.
 func ReadBody(br *bufio.Reader, f Framing, limit int64, memory Memory) ([]byte, error) {
--- a/apricotd/internal/request/reporter/reporter.go
+++ b/apricotd/internal/request/reporter/reporter.go
@@ -147,6 +147,13 @@
 	return http.StatusServiceUnavailable
 }
 
+// IsFinalStatus reports whether a status is one of a final HTTP response, 200 to 599. No
+// answer has another one: net/http accepts 000 and ends the connection of a caller to
+// which it is to be written.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
+
 // Write writes the outcome as a response to a caller or to the node's own
 // backend server.
 func Write(w http.ResponseWriter, requestID string, o Outcome) {
--- a/apricotd/internal/request/translator/translator.go
+++ b/apricotd/internal/request/translator/translator.go
@@ -12,6 +12,7 @@
 package translator
 
 import (
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -99,11 +100,15 @@
 	return m
 }
 
-// Outcome decodes the outcome in a peer's response. If there is none, the
-// request may have been executed, so the result is Unknown.
+// Outcome decodes the outcome in a peer's response. If there is none, or an answer whose
+// status is none of a final response, the request may have been executed, so the result
+// is Unknown.
 func Outcome(m *peerwire.ForwardResponse) reporter.Outcome {
 	switch o := m.Outcome.(type) {
 	case *peerwire.ForwardResponse_Answer:
+		if !reporter.IsFinalStatus(int(o.Answer.Status)) {
+			return reporter.Unknown{Reason: reporter.PeerLost, Detail: fmt.Sprintf("got an answer with status %d, want 200 to 599", o.Answer.Status)}
+		}
 		return reporter.Answered{
 			Status: int(o.Answer.Status),
 			Header: HTTPHeader(o.Answer.Headers),
