Requests are served only in their home regions

Nothing read HomeRegions, so requests with homes went to the nearest server. The caller's node resolves the regions that bind for route and organisation before it asks a server, on each attempt by its newest tables; a call goes by its own route. The node of the server checks its own tables and refuses with outsideHome, after which no other node of that region is tried. An empty intersection is refused as noHome and logged with the tables, and a request whose home servers are not usable as noHomeServer, with the time until one of them may have room.

--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -104,8 +104,12 @@
 		// RateUtilisation is the utilisation of the rate that the server accepts;
 		// 0 if that is not limited.
 		RateUtilisation float64
-		// RetryAfter is after what time a server without room may have some.
+		// RetryAfter is after what time a server without room may have some. The server
+		// is skipped until then.
 		RetryAfter time.Duration
+		// RoomAfter is when a server without room expects to have some. It is only
+		// returned by NextRoom.
+		RoomAfter time.Duration
 	}
 
 	// A Picker tracks the load and the failures of servers. Its exported fields
@@ -155,7 +159,8 @@
 		failureUpdatedAt time.Time
 		avoidUntil       time.Time
 		fullUntil        time.Time
-		fullRank         int // the most urgent rank that was refused for lack of room
+		roomAt           time.Time // when the server expects room, set with fullUntil
+		fullRank         int       // the most urgent rank that was refused for lack of room
 	}
 )
 
@@ -212,6 +217,32 @@
 	return fmt.Sprintf("%d listed: %s", len(servers), strings.Join(parts, ", "))
 }
 
+// NextRoom returns after what time the first of the servers that Choose skips for a time
+// may be selected again. It returns false if there is no such server.
+func (p *Picker) NextRoom(servers []*lister.Server, rq Request) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var first time.Duration
+	found := false
+	for _, s := range servers {
+		r := p.records[s.ID]
+		if r == nil || s.State != lister.Ready || !p.mayRunAt(s, rq) || p.IsLeaving != nil && p.IsLeaving(s) {
+			continue
+		}
+		until := r.avoidUntil
+		if r.hasNoRoom(rq, now) {
+			until = latest(until, r.fullUntil, r.roomAt)
+		}
+		if wait := until.Sub(now); wait > 0 && (!found || wait < first) {
+			first, found = wait, true
+		}
+	}
+	return first, found
+}
+
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
 func (p *Picker) reasonAgainst(s *lister.Server, tried map[string]bool, rq Request, now time.Time) string {
 	r := p.records[s.ID]
 	switch {
@@ -279,6 +310,7 @@
 			rec.fullRank = ch.rank
 		}
 		rec.fullUntil = now.Add(jitter(max(fullBackoff, min(maxFullBackoff, r.RetryAfter))))
+		rec.roomAt = now.Add(r.RoomAfter)
 	case Unreachable:
 		rec.avoidUntil = now.Add(jitter(unreachableBackoff))
 	case Leaving:
@@ -308,6 +340,11 @@
 	}
 }
 
+// mayRunAt reports whether a request may be served in a server's region and data centre.
+func (p *Picker) mayRunAt(s *lister.Server, rq Request) bool {
+	return rq.mayRunIn(s.Region) && (p.IsEvacuated == nil || !p.IsEvacuated(s.DataCentre))
+}
+
 func (rq *Request) mayRunIn(region string) bool {
 	return rq.Regions == nil || slices.Contains(rq.Regions, region)
 }
@@ -316,7 +353,7 @@
 // may run, and neither skipped after an earlier result, nor announced as leaving, nor on
 // a silent node.
 func (p *Picker) isEligible(s *lister.Server, rq Request, now time.Time) bool {
-	if !rq.mayRunIn(s.Region) || p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre) {
+	if !p.mayRunAt(s, rq) {
 		return false
 	}
 	if r := p.records[s.ID]; r != nil && (now.Before(r.avoidUntil) || r.hasNoRoom(rq, now)) {
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -62,6 +62,7 @@
 	Lost        = "lost"        // the connection failed before the whole answer arrived
 	Unclear     = "unclear"     // the answer does not tell whether the request has run
 	Quarantined = "quarantined" // the request crashes servers
+	OutsideHome = "outsideHome" // the request may not be served in this region
 
 	// Unidentified: it is not known yet to which pool the server belongs.
 	Unidentified = "unidentified"
@@ -102,6 +103,12 @@
 	Noticer    *noticer.Noticer
 	Log        logrus.FieldLogger
 	Metrics    *metrics.Set
+	// Region is that of this node.
+	Region string
+	// Homes returns the only regions in which requests on a route for an organisation
+	// may be served, and the version of the tables that say so. No regions means any
+	// if they are nil. If Homes is nil, all requests may be served here.
+	Homes func(route, organisation string) (regions []string, version uint64)
 	// OnBroken is called when the server has closed a connection without
 	// sending an answer.
 	OnBroken func()
@@ -280,6 +287,9 @@
 func (i *Invoker) check(run *linkwire.Run, deadline time.Time) (identity identifier.Identity, refusal *linkwire.Result) {
 	identity, ok := i.Identifier.Identify()
 	end := i.stopAt.Load()
+	if refusal := i.checkHomes(run); refusal != nil {
+		return identity, refusal
+	}
 	switch {
 	case !ok:
 		refusal = refusalResult(Unreachable, "the backend server is not known", unreachableRetryAfter)
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -24,14 +24,11 @@
 		if !time.Now().Before(rq.deadline) {
 			return last
 		}
-		servers, wanted := p.List().Pool(rq.pool), picker.Request{Call: rq.isCall, Rank: rq.rank}
+		servers := p.List().Pool(rq.pool)
+		wanted := picker.Request{Call: rq.isCall, Rank: rq.rank, Regions: p.regions(rq, servers)}
 		choice, ok := p.Picker.Choose(servers, tried, wanted)
 		if !ok && rq.tries == 0 {
-			return refused{
-				reason:     reasonNoServer,
-				detail:     fmt.Sprintf("no usable server of pool %s: %s", rq.pool, p.Picker.Describe(servers, tried, wanted)),
-				retryAfter: noServerRetryAfter,
-			}
+			return p.noServer(rq, servers, wanted)
 		}
 		if !ok {
 			return last
@@ -95,6 +92,9 @@
 	if err != nil {
 		return p.exchangeFailed(ctx, rq, c, err)
 	}
+	if result.GetRefusal().GetReason() == invoker.OutsideHome {
+		rq.refusedRegions = append(rq.refusedRegions, c.Server.Region)
+	}
 	o, report := p.parseResult(rq, result)
 	c.Done(report)
 	if load := result.GetLoad(); load != nil {
@@ -208,6 +208,7 @@
 		rq.arrivals++
 	}
 	report.Result = pickerResult(r)
+	report.RoomAfter = time.Duration(r.GetRetryAfterMs()) * time.Millisecond
 	if load.GetNotice().GetLimited() {
 		report.RetryAfter = time.Duration(r.GetRetryAfterMs()) * time.Millisecond
 	}
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -25,6 +25,8 @@
 	reasonRateExceeded = "rateExceeded"
 	reasonThrottled    = "throttled"
 	reasonNoServer     = "noServer"
+	reasonNoHome       = "noHome"       // route and organisation have no home region in common
+	reasonNoHomeServer = "noHomeServer" // no server in the home regions is usable
 )
 
 const (
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -141,6 +141,8 @@
 		arrivals          int     // backend servers that it has reached, or may have reached
 		tries             int     // servers tried
 		lastServer        string
+		homes             []string // the only regions in which it may be served; nil means any
+		refusedRegions    []string // regions whose nodes refused it as outside its homes
 	}
 )
 
@@ -207,6 +209,9 @@
 		return o
 	}
 	rq.deadline = p.deadline(rq)
+	if o := p.findHomes(rq); o != nil {
+		return o
+	}
 	if p.mayOutlast(rq) {
 		return refused{reason: reasonStopping, detail: "the node stops before the request's deadline", retryAfter: stoppingRetryAfter}
 	}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -299,6 +299,8 @@
 		Noticer:     n.noticer,
 		Log:         n.Log,
 		Metrics:     n.metrics,
+		Region:      s.Region,
+		Homes:       n.homes,
 		OnBroken:    n.checkCrash,
 		OnNewServer: n.requestProbe,
 		Downstream:  func(route string) throttler.Overload { return n.proxier.Downstream(route) },
@@ -435,6 +437,17 @@
 	return initialLimits
 }
 
+// homes returns the only regions in which requests on a route for an organisation may be
+// served, by the tables that this node has, whether or not it serves callers yet.
+func (n *Node) homes(route, organisation string) (regions []string, version uint64) {
+	r := n.syncer.Resolver()
+	if r == nil {
+		return nil, 0
+	}
+	regions, _ = r.HomesByName(route, organisation)
+	return regions, r.Tables.Version
+}
+
 // isEvacuated reports whether the operator has had a data centre evacuated.
 func (n *Node) isEvacuated(dataCentre string) bool {
 	list := n.syncer.List()
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -445,9 +445,15 @@
 	if current != nil && tables.Version <= current.Tables.Version {
 		return false
 	}
-	s.resolver.Store(resolver.New(tables))
+	r := resolver.New(tables)
+	s.resolver.Store(r)
 	s.tablesActivatedAt = time.Now()
-	log.WithField("version", tables.Version).Info("tables activated")
+	log = log.WithField("version", tables.Version)
+	log.Info("tables activated")
+	if c := r.HomeConflict(); c.Count > 0 {
+		log.WithFields(logrus.Fields{"pairs": c.Count, "route": c.Route, "organisation": c.Organisation}).
+			Warn("tables have routes and organisations without a common home region; their requests are refused")
+	}
 	return true
 }
 
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -105,6 +105,7 @@
 		Tables *Tables
 
 		routes             map[string]map[string]*Route // by host and prefix
+		routeByName        map[string]*Route
 		organisationByKey  map[string]*Organisation
 		organisationByName map[string]*Organisation
 	}
@@ -115,6 +116,7 @@
 	r := &Resolver{
 		Tables:             t,
 		routes:             make(map[string]map[string]*Route),
+		routeByName:        make(map[string]*Route, len(t.Routes)),
 		organisationByKey:  make(map[string]*Organisation),
 		organisationByName: make(map[string]*Organisation),
 	}
@@ -123,6 +125,7 @@
 			r.routes[route.Host] = make(map[string]*Route)
 		}
 		r.routes[route.Host][route.Prefix] = route
+		r.routeByName[route.Name] = route
 	}
 	for _, o := range t.Organisations {
 		r.organisationByName[o.Name] = o
--- a/standin/connector/conn.go
+++ b/standin/connector/conn.go
@@ -102,6 +102,9 @@
 	if s.writeClosed || s.readClosed {
 		return 0, net.ErrClosed
 	}
+	if s.network.Observe != nil {
+		s.network.Observe(s.from, s.to, p)
+	}
 	if s.from != s.to {
 		s.network.bytes.Add(int64(len(p)))
 	}
--- a/standin/connector/connector.go
+++ b/standin/connector/connector.go
@@ -37,6 +37,9 @@
 	Connector struct {
 		// Latency returns the one-way latency; if nil, there is none.
 		Latency func(from, to netip.Addr) time.Duration
+		// Observe is called with all data when it is written; nil means not. It must
+		// not keep the data.
+		Observe func(from, to netip.Addr, data []byte)
 
 		mu        sync.Mutex
 		listeners map[netip.AddrPort]*listener
