Requests that may go anywhere leave room for those bound to a region

A region's servers filled up with requests that could have gone elsewhere, up to a utilisation of 0.95, and requests bound to that region were then refused. The picker counts which part of its node's recent requests to a pool is bound to a region, and lowers both spillover limits of that region for the others in proportion, by at most 0.35. Without bound requests nothing changes.

--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -126,10 +126,15 @@
 		// IsEvacuated reports whether the servers of a data centre may get no
 		// requests. If nil, no data centre is evacuated.
 		IsEvacuated func(dataCentre string) bool
+		// HomeReserve is the utilisation that requests which may be served in several
+		// regions leave free in one if all other requests to a pool are bound to it. 0
+		// means that they leave nothing free.
+		HomeReserve float64
 
 		mu      sync.Mutex
 		records map[string]*serverRecord // by server id
 		leaving map[netip.Addr]time.Time
+		homes   map[string]*homeDemand // by pool
 	}
 
 	// A Request holds the properties of a request on which the choice depends.
@@ -184,7 +189,10 @@
 			best[d], lowest[d] = s, u
 		}
 	}
-	s := pick(best, lowest)
+	if len(servers) > 0 && len(tried) == 0 {
+		p.recordHomes(servers[0].Pool, rq, now)
+	}
+	s := pick(best, lowest, p.spilloverFor(best[distanceLevels-1], rq, now))
 	if s == nil {
 		return nil, false
 	}
@@ -265,7 +273,7 @@
 }
 
 // pick selects among the least utilised servers of each distance.
-func pick(best [distanceLevels]*lister.Server, utilisation [distanceLevels]float64) *lister.Server {
+func pick(best [distanceLevels]*lister.Server, utilisation [distanceLevels]float64, limits spillover) *lister.Server {
 	local, d := best[0], 0
 	if local == nil || utilisation[0] > dataCentreSpillover && best[1] != nil && utilisation[1] < utilisation[0]-regionMargin {
 		local, d = best[1], 1
@@ -273,7 +281,7 @@
 	if local == nil {
 		return best[2]
 	}
-	if utilisation[d] > regionSpillover && best[2] != nil && utilisation[2] < crossRegionLimit {
+	if utilisation[d] > limits.local && best[2] != nil && utilisation[2] < limits.other {
 		return best[2]
 	}
 	return local
@@ -333,6 +341,7 @@
 func (p *Picker) Prune(list *lister.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pruneHomes(time.Now())
 	for id, r := range p.records {
 		if _, ok := list.Server(id); !ok && r.inFlight == 0 {
 			delete(p.records, id)
--- a/apricotd/mesher/homes_test.go
+++ b/apricotd/mesher/homes_test.go
@@ -148,6 +148,9 @@
 		if north != 1 || south != 1 {
 			t.Errorf("runs: got %d in north and %d in south, want the first in south and the second in north", north, south)
 		}
+		if len(b.to) != 2 {
+			t.Errorf("VMs that got the body: got %d, want 2, one for each attempt", len(b.to))
+		}
 	})
 }
 
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -103,6 +103,9 @@
 	// drainPollInterval, that find no active request.
 	drainPollInterval = 50 * time.Millisecond
 	drainIdlePolls    = 10
+	// homeReserve is the utilisation that requests without homes leave free for those
+	// that are bound to a region.
+	homeReserve = 0.35
 	// missedHeartbeats is the number of heartbeats of a server after which the store
 	// removes its entry.
 	missedHeartbeats = 3
@@ -318,7 +321,7 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated}
+	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated, HomeReserve: homeReserve}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
