--- a/apricotd/internal/request/invoker/homes.go
+++ b/apricotd/internal/request/invoker/homes.go
@@ -27,6 +27,6 @@
 		"homes":        homes,
 		"region":       i.Region,
 		"version":      version,
-	}).Warn("request of a peer refused; this region is none of its home regions")
+	}).Warn("request refused; this region is none of its home regions")
 	return refusalResult(OutsideHome, fmt.Sprintf("the home regions are %v by tables %d, not %s", homes, version, i.Region), 0)
 }
