--- a/apricotd/internal/process/picker/describe_test.go
+++ b/apricotd/internal/process/picker/describe_test.go
@@ -26,6 +26,10 @@
 	if got := p.Describe(servers, map[string]bool{"d": true}, Request{}); got != want {
 		t.Errorf("describe: got %q, want %q", got, want)
 	}
+	want = "4 listed: 4 outside the home regions"
+	if got := p.Describe(servers, nil, Request{Regions: []string{"q"}}); got != want {
+		t.Errorf("describe for a request with another home region: got %q, want %q", got, want)
+	}
 	if got := p.Describe(nil, nil, Request{}); got != "none listed" {
 		t.Errorf("describe an empty pool: got %q", got)
 	}
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -254,18 +254,18 @@
 func (p *Picker) reasonAgainst(s *lister.Server, tried map[string]bool, rq Request, now time.Time) string {
 	r := p.records[s.ID]
 	switch {
+	case !rq.mayRunIn(s.Region):
+		return "outside the home regions"
 	case s.State != lister.Ready:
 		return "leaving"
+	case p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre):
+		return "in an evacuated data centre"
 	case tried[s.ID]:
 		return "tried"
 	case r != nil && now.Before(r.avoidUntil):
 		return "could not be reached"
 	case r != nil && r.hasNoRoom(rq, now):
 		return "without room"
-	case !rq.mayRunIn(s.Region):
-		return "outside the home regions"
-	case p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre):
-		return "in an evacuated data centre"
 	case !p.isEligible(s, rq, now):
 		return "announced as leaving or on a silent node"
 	}
