--- a/apricotd/mesher/homes_test.go
+++ b/apricotd/mesher/homes_test.go
@@ -225,3 +225,34 @@
 		}
 	})
 }
+
+// Guards against requests that leave their home regions because these cannot be reached,
+// and against a node that keeps refusing when they can be again.
+func TestHomesThatAreCutOff(t *testing.T) {
+	runHomes(t, homeTables(2, "order", []string{"north"}, nil), "e", func(f *fleet, b *bodyTracker) {
+		forPairs := func(do func(a, b netip.Addr)) {
+			for _, m := range f.vms {
+				for _, other := range f.vms {
+					if m.placement.region == "north" && other.placement.region == "south" {
+						do(m.address, other.address)
+					}
+				}
+			}
+		}
+		forPairs(f.network.Cut)
+		for range 5 {
+			if r := f.order(); r.status == 200 || r.status < 500 {
+				t.Errorf("request while the home region is cut off: got %d %q, want a status of at least 500", r.status, r.body)
+			}
+			time.Sleep(time.Second)
+		}
+		forPairs(f.network.Heal)
+		time.Sleep(3 * time.Second)
+		if r := f.order(); r.status != 200 {
+			t.Errorf("request after the cut: got %d %q, want 200", r.status, r.body)
+		}
+		if n := len(f.vms["h"].worker.runs()); n > 0 {
+			t.Errorf("runs outside the homes: got %d, want 0", n)
+		}
+	})
+}
