--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -104,8 +104,12 @@
 		// RateUtilisation is the utilisation of the rate that the server accepts;
 		// 0 if that is not limited.
 		RateUtilisation float64
-		// RetryAfter is after what time a server without room may have some.
+		// RetryAfter is after what time a server without room may have some. The server
+		// is skipped until then.
 		RetryAfter time.Duration
+		// RoomAfter is when a server without room expects to have some. It is only
+		// returned by NextRoom.
+		RoomAfter time.Duration
 	}
 
 	// A Picker tracks the load and the failures of servers. Its exported fields
@@ -122,10 +126,15 @@
 		// IsEvacuated reports whether the servers of a data centre may get no
 		// requests. If nil, no data centre is evacuated.
 		IsEvacuated func(dataCentre string) bool
+		// HomeReserve is the utilisation that requests which may be served in several
+		// regions leave free in one if all other requests to a pool are bound to it. 0
+		// means that they leave nothing free.
+		HomeReserve float64
 
 		mu      sync.Mutex
 		records map[string]*serverRecord // by server id
 		leaving map[netip.Addr]time.Time
+		homes   map[string]*homeDemand // by pool
 	}
 
 	// A Request holds the properties of a request on which the choice depends.
@@ -155,7 +164,8 @@
 		failureUpdatedAt time.Time
 		avoidUntil       time.Time
 		fullUntil        time.Time
-		fullRank         int // the most urgent rank that was refused for lack of room
+		roomAt           time.Time // when the server expects room, set with fullUntil
+		fullRank         int       // the most urgent rank that was refused for lack of room
 	}
 )
 
@@ -179,7 +189,10 @@
 			best[d], lowest[d] = s, u
 		}
 	}
-	s := pick(best, lowest)
+	if len(servers) > 0 && len(tried) == 0 {
+		p.recordHomes(servers[0].Pool, rq, now)
+	}
+	s := pick(best, lowest, p.spilloverFor(best[distanceLevels-1], rq, now))
 	if s == nil {
 		return nil, false
 	}
@@ -212,21 +225,47 @@
 	return fmt.Sprintf("%d listed: %s", len(servers), strings.Join(parts, ", "))
 }
 
+// NextRoom returns after what time the first of the servers that Choose skips for a time
+// may be selected again. It returns false if there is no such server.
+func (p *Picker) NextRoom(servers []*lister.Server, rq Request) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var first time.Duration
+	found := false
+	for _, s := range servers {
+		r := p.records[s.ID]
+		if r == nil || s.State != lister.Ready || !p.mayRunAt(s, rq) || p.IsLeaving != nil && p.IsLeaving(s) {
+			continue
+		}
+		until := r.avoidUntil
+		if r.hasNoRoom(rq, now) {
+			until = latest(until, r.fullUntil, r.roomAt)
+		}
+		if wait := until.Sub(now); wait > 0 && (!found || wait < first) {
+			first, found = wait, true
+		}
+	}
+	return first, found
+}
+
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
 func (p *Picker) reasonAgainst(s *lister.Server, tried map[string]bool, rq Request, now time.Time) string {
 	r := p.records[s.ID]
 	switch {
+	case !rq.mayRunIn(s.Region):
+		return "outside the home regions"
 	case s.State != lister.Ready:
 		return "leaving"
+	case p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre):
+		return "in an evacuated data centre"
 	case tried[s.ID]:
 		return "tried"
 	case r != nil && now.Before(r.avoidUntil):
 		return "could not be reached"
 	case r != nil && r.hasNoRoom(rq, now):
 		return "without room"
-	case !rq.mayRunIn(s.Region):
-		return "outside the home regions"
-	case p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre):
-		return "in an evacuated data centre"
 	case !p.isEligible(s, rq, now):
 		return "announced as leaving or on a silent node"
 	}
@@ -234,7 +273,7 @@
 }
 
 // pick selects among the least utilised servers of each distance.
-func pick(best [distanceLevels]*lister.Server, utilisation [distanceLevels]float64) *lister.Server {
+func pick(best [distanceLevels]*lister.Server, utilisation [distanceLevels]float64, limits spillover) *lister.Server {
 	local, d := best[0], 0
 	if local == nil || utilisation[0] > dataCentreSpillover && best[1] != nil && utilisation[1] < utilisation[0]-regionMargin {
 		local, d = best[1], 1
@@ -242,7 +281,7 @@
 	if local == nil {
 		return best[2]
 	}
-	if utilisation[d] > regionSpillover && best[2] != nil && utilisation[2] < crossRegionLimit {
+	if utilisation[d] > limits.local && best[2] != nil && utilisation[2] < limits.other {
 		return best[2]
 	}
 	return local
@@ -279,6 +318,7 @@
 			rec.fullRank = ch.rank
 		}
 		rec.fullUntil = now.Add(jitter(max(fullBackoff, min(maxFullBackoff, r.RetryAfter))))
+		rec.roomAt = now.Add(r.RoomAfter)
 	case Unreachable:
 		rec.avoidUntil = now.Add(jitter(unreachableBackoff))
 	case Leaving:
@@ -301,6 +341,7 @@
 func (p *Picker) Prune(list *lister.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pruneHomes(time.Now())
 	for id, r := range p.records {
 		if _, ok := list.Server(id); !ok && r.inFlight == 0 {
 			delete(p.records, id)
@@ -308,6 +349,11 @@
 	}
 }
 
+// mayRunAt reports whether a request may be served in a server's region and data centre.
+func (p *Picker) mayRunAt(s *lister.Server, rq Request) bool {
+	return rq.mayRunIn(s.Region) && (p.IsEvacuated == nil || !p.IsEvacuated(s.DataCentre))
+}
+
 func (rq *Request) mayRunIn(region string) bool {
 	return rq.Regions == nil || slices.Contains(rq.Regions, region)
 }
@@ -316,7 +362,7 @@
 // may run, and neither skipped after an earlier result, nor announced as leaving, nor on
 // a silent node.
 func (p *Picker) isEligible(s *lister.Server, rq Request, now time.Time) bool {
-	if !rq.mayRunIn(s.Region) || p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre) {
+	if !p.mayRunAt(s, rq) {
 		return false
 	}
 	if r := p.records[s.ID]; r != nil && (now.Before(r.avoidUntil) || r.hasNoRoom(rq, now)) {
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -103,6 +103,9 @@
 	// drainPollInterval, that find no active request.
 	drainPollInterval = 50 * time.Millisecond
 	drainIdlePolls    = 10
+	// homeReserve is the utilisation that requests without homes leave free for those
+	// that are bound to a region.
+	homeReserve = 0.35
 	// missedHeartbeats is the number of heartbeats of a server after which the store
 	// removes its entry.
 	missedHeartbeats = 3
@@ -299,6 +302,8 @@
 		Noticer:     n.noticer,
 		Log:         n.Log,
 		Metrics:     n.metrics,
+		Region:      s.Region,
+		Homes:       n.homes,
 		OnBroken:    n.checkCrash,
 		OnNewServer: n.requestProbe,
 		Downstream:  func(route string) throttler.Overload { return n.proxier.Downstream(route) },
@@ -316,7 +321,7 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated}
+	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated, HomeReserve: homeReserve}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
@@ -435,6 +440,17 @@
 	return initialLimits
 }
 
+// homes returns the only regions in which requests on a route for an organisation may be
+// served, by the tables that this node has, whether or not it serves callers yet.
+func (n *Node) homes(route, organisation string) (regions []string, version uint64) {
+	r := n.syncer.Resolver()
+	if r == nil {
+		return nil, 0
+	}
+	regions, _ = r.HomesByName(route, organisation)
+	return regions, r.Tables.Version
+}
+
 // isEvacuated reports whether the operator has had a data centre evacuated.
 func (n *Node) isEvacuated(dataCentre string) bool {
 	list := n.syncer.List()
