Evacuations are read from the store and passed on

The operator evacuates a data centre with a key in the store. Each evacuation is ordered by its own position, and travels in a field of its own: an older program that got them as items of the server list would take them for removed at its next full read, and pass that on. Nodes compare the sums of the positions, which rise with each change, so that a node that lacks any of them fetches.

What a restored store lacks or brings back counts as evacuated until the operator writes again (syncer/testdata/merges.txt). An evacuation that a peer knows and the store may have ended is checked with one full read by a reader.

A fleet without evacuations sends the same bytes as before.

--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -39,6 +39,8 @@
 	// tablesKey is the key of the tables in fakeStore; an entry's key is the id of
 	// its server.
 	tablesKey = "tables"
+	// evacuationPrefix is the prefix of the keys of evacuations, before the data centre.
+	evacuationPrefix = "evacuate/"
 
 	goldKey  = "gold-key"
 	goldRate = 50
@@ -377,7 +379,7 @@
 		return nil, err
 	}
 	out := snapshotOf(answer)
-	out.Full = true
+	out.Full, out.EvacuationsFull = true, true
 	return out, nil
 }
 
@@ -396,14 +398,15 @@
 func snapshotOf(answer *registrar.Answer) *syncer.Snapshot {
 	out := &syncer.Snapshot{Position: sequencer.Position{Era: answer.Era, Revision: answer.Revision}}
 	for _, item := range answer.Items {
-		if item.Key == tablesKey {
+		position := sequencer.Position{Era: answer.Era, Revision: item.Revision}
+		switch {
+		case item.Key == tablesKey:
 			out.Tables = item.Value
-			continue
+		case strings.HasPrefix(item.Key, evacuationPrefix):
+			out.Evacuations = append(out.Evacuations, syncer.Evacuation{Key: item.Key, Position: position, Ended: item.Deleted})
+		default:
+			out.Servers = append(out.Servers, syncer.Item{Key: item.Key, Value: item.Value, Removed: item.Deleted, Position: position})
 		}
-		out.Servers = append(out.Servers, syncer.Item{
-			Key: item.Key, Value: item.Value, Removed: item.Deleted,
-			Position: sequencer.Position{Era: answer.Era, Revision: item.Revision},
-		})
 	}
 	return out
 }
@@ -427,3 +430,8 @@
 	doc.Server.StartedAt, doc.Server.Sequence = doc.StartedAt, doc.Sequence
 	return &doc.Server, nil
 }
+
+// Evacuation implements syncer.Decoder.
+func (fakeDecoder) Evacuation(key string) (string, error) {
+	return strings.TrimPrefix(key, evacuationPrefix), nil
+}
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/process/repeater"
 	"apricotrudder.dev/apricotd/syncer"
@@ -36,6 +37,9 @@
 		Region:   n.Settings.Region,
 		Notice:   n.announcedNotice(),
 		Starting: !n.joiner.joined.Load(),
+
+		Evacuations:    v.Evacuations.Revision,
+		EvacuationEras: v.Evacuations.Era,
 	}
 }
 
@@ -97,14 +101,20 @@
 // hasNewerState reports whether the sender of a heartbeat has newer tables or a
 // newer server list than this node.
 func (n *Node) hasNewerState(b *linkwire.Beat) bool {
-	return n.syncer.Versions().IsBehind(sequencer.Versions{Tables: b.Tables, Servers: position(b.Era, b.Servers)})
+	return n.syncer.Versions().IsBehind(sequencer.Versions{
+		Tables: b.Tables, Servers: position(b.Era, b.Servers),
+		Evacuations: sequencer.Position{Era: b.EvacuationEras, Revision: b.Evacuations},
+	})
 }
 
 func (n *Node) fetchFrame() *linkwire.Frame { return fetchFrame(n.syncer.Versions()) }
 
 // fetchFrame returns the frame that requests the state after the given versions.
 func fetchFrame(v sequencer.Versions) *linkwire.Frame {
-	return &linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{Tables: v.Tables, Servers: v.Servers.Revision, Era: &v.Servers.Era}}}
+	return &linkwire.Frame{Kind: &linkwire.Frame_Fetch{Fetch: &linkwire.Fetch{
+		Tables: v.Tables, Servers: v.Servers.Revision, Era: &v.Servers.Era,
+		Evacuations: v.Evacuations.Revision, EvacuationEras: v.Evacuations.Era,
+	}}}
 }
 
 // position returns the position for a revision in a frame. A nil era is that of a
@@ -117,7 +127,10 @@
 }
 
 func (n *Node) sendSnapshot(l *linker.Link, f *linkwire.Fetch) {
-	state := n.syncer.ChangesSince(sequencer.Versions{Tables: f.Tables, Servers: position(f.Era, f.Servers)})
+	state := n.syncer.ChangesSince(sequencer.Versions{
+		Tables: f.Tables, Servers: position(f.Era, f.Servers),
+		Evacuations: sequencer.Position{Era: f.EvacuationEras, Revision: f.Evacuations},
+	})
 	out := &linkwire.Snapshot{
 		Tables: deflate(state.Tables), Revision: state.Position.Revision, Era: &state.Position.Era, Whole: state.Full,
 		SinceRevision: state.Since.Revision, SinceEra: &state.Since.Era,
@@ -128,6 +141,11 @@
 			HeldForMs: uint32(item.GraceLeft.Milliseconds()), GoneForMs: uint32(item.RemovedFor.Milliseconds()), GoneFrom: uint32(item.RemovedFrom),
 		})
 	}
+	for _, e := range state.Evacuations {
+		out.Evacuations = append(out.Evacuations, &linkwire.Evacuation{
+			Key: e.Key, Era: e.Position.Era, Revision: e.Position.Revision, Ended: e.Ended, ForMs: converter.Uint32(e.For.Milliseconds()),
+		})
+	}
 	l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Snapshot{Snapshot: out}})
 }
 
@@ -143,6 +161,11 @@
 			GraceLeft: time.Duration(item.HeldForMs) * time.Millisecond, RemovedFor: time.Duration(item.GoneForMs) * time.Millisecond, RemovedFrom: int(item.GoneFrom),
 		})
 	}
+	for _, e := range s.Evacuations {
+		state.Evacuations = append(state.Evacuations, syncer.Evacuation{
+			Key: e.Key, Position: sequencer.Position{Era: e.Era, Revision: e.Revision}, Ended: e.Ended, For: time.Duration(e.ForMs) * time.Millisecond,
+		})
+	}
 	n.syncer.Apply(state, l.Peer.String())
 	return nil
 }
--- a/apricotd/syncer/merge_test.go
+++ b/apricotd/syncer/merge_test.go
@@ -18,6 +18,9 @@
 	"apricotrudder.dev/apricotd/version/sequencer"
 )
 
+// evacuationPrefix is the prefix of the keys of evacuations in testdata/merges.txt.
+const evacuationPrefix = "evacuate:"
+
 type (
 	// mergeScript runs the lines of testdata/merges.txt against one Syncer.
 	mergeScript struct {
@@ -60,6 +63,15 @@
 	return s, nil
 }
 
+// Evacuation implements Decoder.
+func (scriptDecoder) Evacuation(key string) (string, error) {
+	dataCentre, ok := strings.CutPrefix(key, evacuationPrefix)
+	if !ok || dataCentre == "unknown" {
+		return "", fmt.Errorf("got key %q", key)
+	}
+	return dataCentre, nil
+}
+
 // parseItem parses "key=state", "key=state/started/sequence" or "key=removed",
 // each optionally followed by "@revision" or "@era.revision".
 func (m *mergeScript) parseItem(text string, position sequencer.Position) Item {
@@ -90,10 +102,11 @@
 	return item
 }
 
-// apply runs "full ERA.REVISION ITEM..." or "changes ERA.REVISION ITEM...". The era
-// "-" means that the snapshot states none.
+// apply runs "full ERA.REVISION ITEM...", "changes ERA.REVISION ITEM..." or "state
+// ERA.REVISION ITEM...", the full state of a peer. The era "-" means that the snapshot
+// states none.
 func (m *mergeScript) apply(fields []string) {
-	snapshot := &Snapshot{Full: fields[0] == "full", Position: sequencer.Position{Era: sequencer.NoEra}}
+	snapshot := &Snapshot{Full: fields[0] != "changes", EvacuationsFull: fields[0] == "full", Position: sequencer.Position{Era: sequencer.NoEra}}
 	at := strings.TrimPrefix(fields[1], "-.")
 	if era, revision, ok := strings.Cut(at, "."); ok {
 		_, _ = fmt.Sscan(era, &snapshot.Position.Era)
@@ -107,9 +120,18 @@
 			snapshot.Tables = []byte(version)
 			continue
 		}
-		snapshot.Servers = append(snapshot.Servers, m.parseItem(field, snapshot.Position))
+		item := m.parseItem(field, snapshot.Position)
+		if strings.HasPrefix(item.Key, evacuationPrefix) {
+			snapshot.Evacuations = append(snapshot.Evacuations, Evacuation{Key: item.Key, Position: item.Position, Ended: item.Removed})
+			continue
+		}
+		snapshot.Servers = append(snapshot.Servers, item)
+	}
+	source := "script"
+	if snapshot.EvacuationsFull {
+		source = sourceStore
 	}
-	m.syncer.Apply(snapshot, "script")
+	m.syncer.Apply(snapshot, source)
 }
 
 // state returns the held versions and the usable servers in one line.
@@ -117,6 +139,14 @@
 	v := m.syncer.Versions()
 	out := fmt.Sprintf("%d %d.%d", v.Tables, v.Servers.Era, v.Servers.Revision)
 	for _, key := range keys {
+		if dataCentre, ok := strings.CutPrefix(key, evacuationPrefix); ok {
+			state := "removed"
+			if m.syncer.List().IsEvacuated(dataCentre) {
+				state = "yes"
+			}
+			out += " " + key + "=" + state
+			continue
+		}
 		state := "none"
 		if s, ok := m.syncer.List().Server(key); ok {
 			state = "ready"
@@ -132,7 +162,7 @@
 func (m *mergeScript) run(line string) {
 	fields := strings.Fields(line)
 	switch fields[0] {
-	case "full", "changes":
+	case "full", "changes", "state":
 		m.apply(fields)
 	case "wait", "outage":
 		d, err := time.ParseDuration(fields[1])
@@ -160,7 +190,7 @@
 			m.t.Errorf("state: got %q, want %q", got, want)
 		}
 	default:
-		m.t.Fatalf("got line %q, want full, changes, wait, outage, peer or want", line)
+		m.t.Fatalf("got line %q, want full, changes, state, wait, outage, peer or want", line)
 	}
 }
 
--- a/apricotd/syncer/servers.go
+++ b/apricotd/syncer/servers.go
@@ -109,6 +109,9 @@
 	if r := s.resolver.Load(); r != nil && r.Tables.Version > v.Tables {
 		changes.Tables = r.Tables.Raw
 	}
+	if s.evacuations.version().Compare(v.Evacuations) > 0 {
+		changes.Evacuations = s.evacuations.all(time.Now())
+	}
 	after := v.Servers.InEra(s.position.Era)
 	if !after.IsZero() && s.position.Compare(after) <= 0 {
 		return changes
@@ -278,6 +281,7 @@
 	}
 	list := lister.New(s.position.Revision, servers)
 	list.SetAbsent(absentVMs(lastRemoved))
+	list.SetEvacuations(s.evacuations.inForce())
 	s.list.Store(list)
 }
 
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -12,6 +12,10 @@
 // until the entries of servers that have ended can have expired, the newer of the
 // known state and the entry shown applies.
 //
+// Evacuations of data centres come from the same store, but each is ordered by its own
+// position: one that this node or the store knows stays in force until a later write of
+// the operator ends it.
+//
 // # Usage
 //
 //	s := &syncer.Syncer{Store: store, Decoder: decoder, Log: log, OnChange: announce, IsReader: isReader}
@@ -107,6 +111,11 @@
 		// Since is the position after which Servers has the changes. It matters only if
 		// it is of another era.
 		Since sequencer.Position
+		// Evacuations are those that the source knows, or the changes to them, oldest
+		// first.
+		Evacuations []Evacuation
+		// EvacuationsFull reports that the store has no others.
+		EvacuationsFull bool
 	}
 
 	// A Store publishes the state.
@@ -122,6 +131,8 @@
 	Decoder interface {
 		Tables(raw []byte) (*resolver.Tables, error)
 		Server(i Item) (*lister.Server, error)
+		// Evacuation returns the data centre to which the key of an evacuation refers.
+		Evacuation(key string) (dataCentre string, err error)
 	}
 
 	// A Syncer keeps a copy of the published state. Its exported fields must be set
@@ -147,6 +158,8 @@
 
 		mu                    sync.Mutex
 		entries               map[string]*entry
+		evacuations           evacuations
+		evacuationsDoubted    bool                // the store may have ended an evacuation that a peer has sent
 		reportingNodes        map[netip.Addr]bool // nodes whose last health report named a server
 		position              sequencer.Position
 		eraStart              uint64             // revision at which this node entered the era
@@ -183,6 +196,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.Servers = s.position
+	v.Evacuations = s.evacuations.version()
 	return v
 }
 
@@ -297,7 +311,7 @@
 // since then, even if the store has such a revision again.
 func (s *Syncer) poll(ctx context.Context) error {
 	position := s.Versions().Servers
-	if position.IsZero() {
+	if position.IsZero() || s.areEvacuationsDoubted() {
 		return s.readAll(ctx)
 	}
 	s.watchCalls.Add(1)
@@ -422,6 +436,7 @@
 // Apply merges state from the store or from a peer. The source is only logged.
 func (s *Syncer) Apply(snapshot *Snapshot, source string) {
 	changed := s.applyTables(snapshot.Tables, source)
+	changed = s.applyEvacuations(snapshot, source) || changed
 	if s.applyServers(snapshot, source) || changed {
 		s.OnChange()
 	}
--- a/apricotd/syncer/syncer_test.go
+++ b/apricotd/syncer/syncer_test.go
@@ -80,6 +80,9 @@
 // Server implements Decoder.
 func (fakeDecoder) Server(i Item) (*lister.Server, error) { return &lister.Server{ID: i.Key}, nil }
 
+// Evacuation implements Decoder.
+func (fakeDecoder) Evacuation(string) (string, error) { return "", errors.New("no evacuations") }
+
 func runSyncer(t *testing.T, test func(syncer *Syncer, s *fakeStore)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
--- a/apricotd/version/lister/lister.go
+++ b/apricotd/version/lister/lister.go
@@ -80,9 +80,10 @@
 	// get no requests.
 	Evacuation struct {
 		DataCentre string
-		// Revision is that of the operator's request in the store.
+		// Era and Revision are those of the operator's request in the store.
+		Era      int64
 		Revision uint64
-		// Since is when this node learned of it.
+		// Since is when a node of the fleet that passed it on, or this one, learned of it.
 		Since time.Time
 	}
 )
--- a/apricotd/version/sequencer/sequencer.go
+++ b/apricotd/version/sequencer/sequencer.go
@@ -35,6 +35,9 @@
 	Versions struct {
 		Tables  uint64 // version of the tables; 0 if there are none
 		Servers Position
+		// Evacuations is the sum of the positions of all evacuations that are known. Each
+		// change moves the position of one of them ahead, and thereby the sum.
+		Evacuations Position
 	}
 )
 
@@ -58,5 +61,6 @@
 // IsBehind reports whether any part of o is newer than in v. A position of o
 // without an era is taken to be of the era of v.
 func (v Versions) IsBehind(o Versions) bool {
-	return o.Tables > v.Tables || !o.Servers.IsZero() && o.Servers.InEra(v.Servers.Era).Compare(v.Servers) > 0
+	return o.Tables > v.Tables || !o.Servers.IsZero() && o.Servers.InEra(v.Servers.Era).Compare(v.Servers) > 0 ||
+		o.Evacuations.Compare(v.Evacuations) > 0
 }
