No requests into evacuated data centres

The node beside a server refuses what nodes with older state still send, also after a wait in its queue (evacuated, not run), and the sender skips the data centre for half a second. If all servers that may run a request are evacuated, it is refused with 503 and that reason. Running requests end. Servers of evacuated data centres do not count as ones without a rate limit when overload is judged.

The node's operators server answers /v1/status, so that apricotctl status shows evacuations, their revision and age, and what still runs. Metrics apricot_evacuated and apricot_backend_evacuated_refusals_total.

Without the check of the node beside the server, TestNodeBesideEvacuatedServerRefuses sees 20 of 20 requests arrive.

--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -70,6 +70,7 @@
 	"leaving":          "the node beside the server refused it, because the server or that node accepts nothing new; it has not run",
 	"wrongPool":        "the node beside the server refused it, because its server belongs to another pool; it has not run",
 	"unidentified":     "the node beside the server refused it, because nothing showed yet to which pool its server belongs; it has not run",
+	"evacuated":        "all servers that could run it are in data centres that the operator has evacuated, or the last node that was asked is in one; it has not run",
 	"unreachable":      "the server or the node beside it could not be reached; it has not run",
 	"shed":             "the server itself refused it and stated that it has not run it",
 	"expired":          "its deadline passed before it was sent to a server; it has not run",
--- a/apricotctl/nodes.go
+++ b/apricotctl/nodes.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sort"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -204,13 +205,22 @@
 }
 
 func statusNote(s *observer.Status) string {
+	var notes []string
 	switch {
 	case s.BackendDown:
-		return "backend server down"
+		notes = append(notes, "backend server down")
 	case s.PlatformDown:
-		return "platform down for most data centres"
+		notes = append(notes, "platform down for most data centres")
 	}
-	return ""
+	for _, e := range s.Evacuations {
+		since := (time.Duration(e.SinceMs) * time.Millisecond).Round(100 * time.Millisecond)
+		note := fmt.Sprintf("%s evacuated for %v (revision %d of era %d)", e.DataCentre, since, e.Revision, e.Era)
+		if e.DataCentre == s.DataCentre {
+			note += fmt.Sprintf(", %d still running here", s.InFlight)
+		}
+		notes = append(notes, note)
+	}
+	return strings.Join(notes, "; ")
 }
 
 func printEntries(entries []nodeEntry) {
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -1,7 +1,7 @@
 // Package picker selects the backend server for a request.
 //
-// It guarantees that a server which is known to be leaving or was already tried
-// is not selected. The local data centre is preferred to the rest of the local
+// It guarantees that a server which is known to be leaving or in an evacuated data
+// centre, or was already tried, is not selected. The local data centre is preferred to the rest of the local
 // region while it has room, and both to other regions, because traffic between
 // data centres and regions is charged. Among servers at the same distance the
 // least utilised one is selected. Recent failures add to the utilisation, so a
@@ -66,6 +66,10 @@
 	maxFullBackoff = 500 * time.Millisecond
 	// unreachableBackoff is how long a server that could not be reached is skipped.
 	unreachableBackoff = 500 * time.Millisecond
+	// evacuatedBackoff is how long a data centre is skipped after a node there has refused
+	// a request because it is evacuated. By then this node has learned of it too, or it
+	// has ended.
+	evacuatedBackoff = 500 * time.Millisecond
 	// leavingTTL is how long a node's announcement that it is leaving stays valid.
 	leavingTTL = 2 * time.Second
 	// maxSilence is the silence from which a node is skipped.
@@ -87,6 +91,7 @@
 	Failed                    // the request was lost
 	Unreachable               // its node or the server could not be reached
 	Leaving                   // the server accepts no new requests
+	Evacuated                 // the server's data centre is evacuated
 	Abandoned                 // cancelled, timed out or not sent
 )
 
@@ -126,6 +131,9 @@
 		mu      sync.Mutex
 		records map[string]*serverRecord // by server id
 		leaving map[netip.Addr]time.Time
+		// evacuatedUntil holds the data centres whose nodes have refused a request because
+		// they are evacuated, of which this node may not have heard.
+		evacuatedUntil map[string]time.Time
 	}
 
 	// A Request holds the properties of a request on which the choice depends.
@@ -225,7 +233,7 @@
 		return "without room"
 	case !rq.mayRunIn(s.Region):
 		return "outside the home regions"
-	case p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre):
+	case p.isEvacuated(s.DataCentre, now):
 		return "in an evacuated data centre"
 	case !p.isEligible(s, rq, now):
 		return "announced as leaving or on a silent node"
@@ -283,7 +291,39 @@
 		rec.avoidUntil = now.Add(jitter(unreachableBackoff))
 	case Leaving:
 		rec.avoidUntil = now.Add(leavingTTL)
+	case Evacuated:
+		if p.evacuatedUntil == nil {
+			p.evacuatedUntil = make(map[string]time.Time)
+		}
+		p.evacuatedUntil[ch.Server.DataCentre] = now.Add(jitter(evacuatedBackoff))
+	}
+}
+
+// IsEachEvacuated reports whether no server can be selected for a request just because
+// all that could run it are in evacuated data centres.
+func (p *Picker) IsEachEvacuated(servers []*lister.Server, rq Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	found := false
+	for _, s := range servers {
+		if s.State != lister.Ready || !rq.mayRunIn(s.Region) {
+			continue
+		}
+		if !p.isEvacuated(s.DataCentre, now) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+func (p *Picker) isEvacuated(dataCentre string, now time.Time) bool {
+	if p.IsEvacuated != nil && p.IsEvacuated(dataCentre) {
+		return true
 	}
+	until, ok := p.evacuatedUntil[dataCentre]
+	return ok && now.Before(until)
 }
 
 // MarkLeaving marks the server of a node as leaving for leavingTTL.
@@ -316,7 +356,7 @@
 // may run, and neither skipped after an earlier result, nor announced as leaving, nor on
 // a silent node.
 func (p *Picker) isEligible(s *lister.Server, rq Request, now time.Time) bool {
-	if !rq.mayRunIn(s.Region) || p.IsEvacuated != nil && p.IsEvacuated(s.DataCentre) {
+	if !rq.mayRunIn(s.Region) || p.isEvacuated(s.DataCentre, now) {
 		return false
 	}
 	if r := p.records[s.ID]; r != nil && (now.Before(r.avoidUntil) || r.hasNoRoom(rq, now)) {
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -1,8 +1,8 @@
 // Package invoker runs requests on the node's own backend server, for the
 // node's own callers and for peers.
 //
-// It guarantees that a request is sent only while the server is not leaving and
-// belongs to the requested pool, and that it carries the time that remains until its
+// It guarantees that a request is sent only while the server is not leaving, its data
+// centre is not evacuated and it belongs to the requested pool, and that it carries the time that remains until its
 // deadline and the id of the very server that was checked: the address may pass to
 // another server at any time, which rejects that id. A refusal states "not run" only if no
 // byte of the request was sent or the server itself stated it.
@@ -65,6 +65,7 @@
 
 	// Unidentified: it is not known yet to which pool the server belongs.
 	Unidentified = "unidentified"
+	Evacuated    = "evacuated" // the operator has the data centre of the server evacuated
 )
 
 const (
@@ -76,6 +77,9 @@
 	// QuarantineRetryAfter is the retry delay stated for a request that crashes
 	// servers.
 	QuarantineRetryAfter = 30 * time.Second
+	// EvacuatedRetryAfter is the retry delay stated while all servers that may run a
+	// request are evacuated, which lasts until an operator ends it.
+	EvacuatedRetryAfter = 2 * time.Second
 	// minShedRetryAfter is the least retry delay stated after the server itself
 	// rejected a request. It is short since the next attempt may be accepted
 	// and latency targets are short.
@@ -110,6 +114,9 @@
 	// Downstream returns the estimated overload of the pools that are called
 	// for a route.
 	Downstream func(route string) throttler.Overload
+	// IsEvacuated reports whether the data centre of the server is evacuated. If nil, it
+	// never is.
+	IsEvacuated func() bool
 
 	leaving         atomic.Bool
 	stopAt          atomic.Pointer[time.Time] // nil until Stop
@@ -276,11 +283,15 @@
 }
 
 // check returns the server to which the request may be sent now, or a refusal. It is
-// called again after a wait, in which the node may have begun to stop.
+// called again after a wait, in which the node may have begun to stop or have learned
+// that the data centre is evacuated.
 func (i *Invoker) check(run *linkwire.Run, deadline time.Time) (identity identifier.Identity, refusal *linkwire.Result) {
 	identity, ok := i.Identifier.Identify()
 	end := i.stopAt.Load()
 	switch {
+	case i.IsEvacuated != nil && i.IsEvacuated():
+		i.Metrics.GetOrCreateCounter("apricot_backend_evacuated_refusals_total").Inc()
+		refusal = refusalResult(Evacuated, "the data centre of the backend server is evacuated", EvacuatedRetryAfter)
 	case !ok:
 		refusal = refusalResult(Unreachable, "the backend server is not known", unreachableRetryAfter)
 	case identity.Evidence == identifier.None:
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -26,6 +26,13 @@
 		}
 		servers, wanted := p.List().Pool(rq.pool), picker.Request{Call: rq.isCall, Rank: rq.rank}
 		choice, ok := p.Picker.Choose(servers, tried, wanted)
+		if !ok && rq.tries == 0 && p.Picker.IsEachEvacuated(servers, wanted) {
+			return refused{
+				reason:     invoker.Evacuated,
+				detail:     fmt.Sprintf("all servers of pool %s that may run the request are in evacuated data centres: %s", rq.pool, p.Picker.Describe(servers, tried, wanted)),
+				retryAfter: invoker.EvacuatedRetryAfter,
+			}
+		}
 		if !ok && rq.tries == 0 {
 			return refused{
 				reason:     reasonNoServer,
@@ -116,7 +123,11 @@
 }
 
 func (p *Proxier) hasUnlimitedServer(pool string) bool {
-	for _, s := range p.List().Pool(pool) {
+	list := p.List()
+	for _, s := range list.Pool(pool) {
+		if list.IsEvacuated(s.DataCentre) {
+			continue
+		}
 		m := p.Notices.Notice(s.Address.Addr())
 		if s.State == lister.Ready && (m == nil || m.Server != s.ID || !m.Limited && !m.Leaving) {
 			return true
@@ -244,6 +255,8 @@
 		return picker.Unreachable
 	case invoker.Leaving:
 		return picker.Leaving
+	case invoker.Evacuated:
+		return picker.Evacuated
 	}
 	return picker.Abandoned
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -144,6 +144,8 @@
 	pool          atomic.Pointer[poolReading]
 	stopping      atomic.Bool // the readiness check fails, so that callers fail over
 	leaving       atomic.Bool // heartbeats tell peers that this node is leaving
+	evacuated     atomic.Bool // the data centre is evacuated, as of the last change
+	returned      atomic.Bool // an evacuation has ended, and the server was not probed since
 	acceptor      *acceptor.Acceptor
 	exchanger     *exchanger.Exchanger
 	linker        *linker.Linker
@@ -302,6 +304,7 @@
 		OnBroken:    n.checkCrash,
 		OnNewServer: n.requestProbe,
 		Downstream:  func(route string) throttler.Overload { return n.proxier.Downstream(route) },
+		IsEvacuated: func() bool { return n.isEvacuated(s.DataCentre) },
 	}
 	n.invoker.SetSlots(defaultSlots)
 	n.traffic = newTrafficCounter(n.metrics, n.scopeOf)
@@ -489,6 +492,10 @@
 		n.picker.Prune(list)
 		n.notices.Prune(list)
 	}
+	isEvacuated := n.isEvacuated(n.Settings.DataCentre)
+	if wasEvacuated := n.evacuated.Swap(isEvacuated); wasEvacuated && !isEvacuated {
+		n.endEvacuation()
+	}
 	if !n.identifier.IsReported() {
 		n.requestProbe()
 	}
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -35,7 +35,8 @@
 	return serve(ctx, listener, r)
 }
 
-// serveMetrics serves metrics in the Prometheus text format.
+// serveMetrics serves metrics in the Prometheus text format, and the status of the node
+// as JSON.
 func (n *Node) serveMetrics(ctx context.Context, listener net.Listener) error {
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -43,11 +44,13 @@
 		n.writeLabelledGauges(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	r.Get("/v1/status", n.serveStatus)
 	return serve(ctx, listener, r)
 }
 
-// writeLabelledGauges writes the metrics with a pool, organisation or class label. They
-// are not registered, because the sets of pools and organisations change with the tables.
+// writeLabelledGauges writes the metrics with a pool, organisation, class or data centre
+// label. They are not registered, because the sets of these change with the tables and
+// the evacuations.
 func (n *Node) writeLabelledGauges(w io.Writer) {
 	for pool, remaining := range n.proxier.Budget.Remaining() {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_retry_budget_left{pool=%q}`, pool), remaining)
@@ -56,6 +59,9 @@
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`apricot_memory_held_bytes{class=%q}`, class), uint64(max(0, bytes)))
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`apricot_memory_refusals_total{class=%q}`, class), refusals)
 	})
+	for _, e := range n.evacuations() {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`apricot_evacuated{dataCentre=%q}`, e.DataCentre), 1)
+	}
 	for organisation, share := range n.policer.Shares() {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_rate_share{organisation=%q}`, organisation), share)
 	}
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -121,7 +121,7 @@
 }
 
 func (n *Node) needsProbe() bool {
-	if !n.identifier.IsReported() || n.noticer.NeedsProbe(noticeProbeAfter) {
+	if n.returned.Swap(false) || !n.identifier.IsReported() || n.noticer.NeedsProbe(noticeProbeAfter) {
 		return true
 	}
 	confirmed, ok := n.identifier.LastConfirmed()
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -37,6 +37,19 @@
 		BackendDown   bool   `json:"backendDown"`
 		InFlight      int    `json:"inFlight"`
 		Limit         int    `json:"limit"`
+		// Evacuations are those that the node knows to be in force.
+		Evacuations []Evacuation `json:"evacuations,omitempty"`
+	}
+
+	// An Evacuation is an operator's request that the backend servers of a data centre
+	// get no requests.
+	Evacuation struct {
+		DataCentre string `json:"dataCentre"`
+		// Era and Revision are those of the request in the platform's store.
+		Era      int64  `json:"era"`
+		Revision uint64 `json:"revision"`
+		// SinceMs is the time since the nodes learned of it.
+		SinceMs int64 `json:"sinceMs"`
 	}
 
 	// An Entry is one entry of a node's audit trail, as returned by /v1/audit.
