--- a/apricotd/mesher/restoration_test.go
+++ b/apricotd/mesher/restoration_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,7 +25,8 @@
 // A restoration is one random run of changes, restorations and restarts.
 type restoration struct {
 	*fleet
-	rng *rand.Rand
+	rng         *rand.Rand
+	evacuateRNG *rand.Rand // of its own, so that the seeds that have failed draw what they drew
 
 	isAway   bool      // the store is unavailable to all
 	unstable time.Time // end of the last outage of the store
@@ -36,10 +39,12 @@
 	isReported  map[string]bool      // by VM; its node or its server has failed a check
 	disturbedAt map[string]time.Time // by VM, when its node was last restarted, rejected by the store or isolated
 	versions    map[*Node]uint64     // highest version seen on a node
+	evacuatedAt map[string]time.Time // by data centre, when the operator has evacuated it; zero once taken back
+	orderedAt   map[string]time.Time // by data centre, the operator's last write
 }
 
-// Guards against versions that fall, servers in use that have left, and nodes that
-// disagree, under drawn schedules of changes, restorations, lost histories,
+// Guards against versions that fall, servers in use that have left, evacuations that are
+// not in force or do not end, and nodes that disagree, under drawn schedules of changes, restorations, lost histories,
 // rejected or isolated nodes and restarts.
 func TestRestorationsUnderChanges(t *testing.T) {
 	seeds := slices.Clone(failedRestoreSeeds)
@@ -53,6 +58,7 @@
 					fleet: f, rng: rand.New(rand.NewPCG(seed, 22)), version: 1,
 					leftAt: make(map[string]time.Time), isGone: make(map[string]bool), isReported: make(map[string]bool),
 					disturbedAt: make(map[string]time.Time), versions: make(map[*Node]uint64),
+					evacuateRNG: rand.New(rand.NewPCG(seed, 40)), evacuatedAt: make(map[string]time.Time), orderedAt: make(map[string]time.Time),
 				}
 				r.run()
 			})
@@ -63,6 +69,9 @@
 func (r *restoration) run() {
 	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
 		r.act()
+		if r.evacuateRNG.IntN(4) == 0 {
+			r.changeEvacuation([]string{"north-2", "south-1"}[r.evacuateRNG.IntN(2)])
+		}
 		r.checkFor(time.Duration(50+r.rng.IntN(1500)) * time.Millisecond)
 	}
 	for _, m := range r.vms {
@@ -168,6 +177,9 @@
 	r.mu.Lock()
 	lost := r.store.Restore(age + unavailable)
 	for _, item := range lost {
+		if strings.HasPrefix(item.Key, evacuationPrefix) {
+			continue
+		}
 		r.rewrite(item.Key, time.Duration(r.rng.Int64N(int64(rewriteTime))))
 	}
 	for name := range r.isGone {
@@ -178,6 +190,11 @@
 	r.checkFor(time.Duration(r.rng.IntN(300)) * time.Millisecond)
 	r.store.SetAway(false)
 	r.unstable, r.isAway = time.Now(), false
+	// The nodes cannot tell an evacuation that the copy lacks from one that has ended
+	// before they reached the restored store, so the operator orders all again.
+	for _, dataCentre := range slices.Sorted(maps.Keys(r.orderedAt)) {
+		time.AfterFunc(100*time.Millisecond+time.Duration(r.evacuateRNG.Int64N(int64(rewriteTime))), func() { r.orderAgain(dataCentre) })
+	}
 }
 
 // rewrite writes a lost key again after a delay, as its writer states it then.
@@ -198,6 +215,30 @@
 	})
 }
 
+// changeEvacuation evacuates a data centre or takes it back.
+func (r *restoration) changeEvacuation(dataCentre string) {
+	r.mu.Lock()
+	if r.evacuatedAt[dataCentre].IsZero() {
+		r.evacuatedAt[dataCentre] = time.Now()
+	} else {
+		r.evacuatedAt[dataCentre] = time.Time{}
+	}
+	r.mu.Unlock()
+	r.orderAgain(dataCentre)
+}
+
+// orderAgain writes whether a data centre is evacuated.
+func (r *restoration) orderAgain(dataCentre string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orderedAt[dataCentre] = time.Now()
+	if r.evacuatedAt[dataCentre].IsZero() {
+		r.takeBack(dataCentre)
+	} else {
+		r.evacuate(dataCentre)
+	}
+}
+
 // expire removes the entry of a server that has ended.
 func (r *restoration) expire(name string) {
 	r.mu.Lock()
@@ -262,6 +303,13 @@
 			r.isReported[node] = true
 			r.t.Errorf("version of the tables on VM %s: got %d, want %d, written %v ago", node, version, r.version, now.Sub(r.versionAt))
 		}
+		for dataCentre, at := range r.orderedAt {
+			got, want := n.syncer.List().IsEvacuated(dataCentre), !r.evacuatedAt[dataCentre].IsZero()
+			if got != want && now.Sub(at) > inForceWithin && !r.isReported[dataCentre] {
+				r.isReported[dataCentre] = true
+				r.t.Errorf("data centre %s on VM %s %v after the operator's last write: got evacuated %t, want %t", dataCentre, node, now.Sub(at), got, want)
+			}
+		}
 		for name, at := range r.leftAt {
 			s, ok := n.syncer.List().Server(r.vms[name].worker.id)
 			if ok && s.State == lister.Ready && now.Sub(at) > inForceWithin && !r.isReported[name] {
--- a/apricotd/syncer/evacuations.go
+++ b/apricotd/syncer/evacuations.go
@@ -10,6 +10,9 @@
 	"apricotrudder.dev/apricotd/version/sequencer"
 )
 
+// maxEvacuationKeyBytes is the length of the longest key that is held and passed on.
+const maxEvacuationKeyBytes = 256
+
 type (
 	// An Evacuation is an operator's request that the backend servers of a data centre
 	// get no requests, or the end of that request.
@@ -130,7 +133,9 @@
 	changed := false
 	for _, e := range received {
 		e.Position = e.Position.InEra(position.Era)
-		if e.Position.IsZero() {
+		if len(e.Key) > maxEvacuationKeyBytes || e.Position.IsZero() {
+			s.Log.WithField("key", e.Key[:min(len(e.Key), maxEvacuationKeyBytes)]).WithField("source", source).
+				Warn("evacuation ignored; its key is too long or its position is missing")
 			continue
 		}
 		if !s.position.IsZero() && e.Position.Era > s.position.Era+maxEraStep {
