--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -116,7 +116,11 @@
 }
 
 func (p *Proxier) hasUnlimitedServer(pool string) bool {
-	for _, s := range p.List().Pool(pool) {
+	list := p.List()
+	for _, s := range list.Pool(pool) {
+		if list.IsEvacuated(s.DataCentre) {
+			continue
+		}
 		m := p.Notices.Notice(s.Address.Addr())
 		if s.State == lister.Ready && (m == nil || m.Server != s.ID || !m.Limited && !m.Leaving) {
 			return true
@@ -245,6 +249,8 @@
 		return picker.Unreachable
 	case invoker.Leaving:
 		return picker.Leaving
+	case invoker.Evacuated:
+		return picker.Evacuated
 	}
 	return picker.Abandoned
 }
--- a/apricotd/internal/request/proxier/homes.go
+++ b/apricotd/internal/request/proxier/homes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/process/picker"
+	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
 )
@@ -59,12 +60,17 @@
 
 // noServer returns the refusal of a request for which no server is usable. A request
 // with homes is not sent elsewhere, so it learns when one of them may have room.
+// Evacuations last until an operator ends them.
 func (p *Proxier) noServer(rq *request, servers []*lister.Server, wanted picker.Request) outcome {
 	o := refused{
 		reason:     reasonNoServer,
 		detail:     fmt.Sprintf("no usable server of pool %s: %s", rq.pool, p.Picker.Describe(servers, nil, wanted)),
 		retryAfter: noServerRetryAfter,
 	}
+	if p.Picker.IsEachEvacuated(servers, wanted) {
+		o.reason, o.retryAfter = invoker.Evacuated, invoker.EvacuatedRetryAfter
+		return o
+	}
 	if rq.homes == nil {
 		return o
 	}
