--- a/apricotd/version/resolver/homes.go
+++ b/apricotd/version/resolver/homes.go
@@ -8,8 +8,8 @@
 // A HomeConflict is a set of routes and organisations that have home regions, but none
 // in common, so that requests of these organisations on these routes are refused.
 type HomeConflict struct {
-	Route, Organisation string // the first of each
-	Count               int    // pairs of a route and an organisation
+	Route, Organisation string // one of the pairs
+	Count               int    // of pairs of a route and an organisation
 }
 
 // Homes returns the only regions in which requests on a route for an organisation may
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -9,6 +9,7 @@
 //	r := resolver.New(tables)
 //	route, ok := r.Route("music.example", "/catalogue/42")
 //	organisation, ok := r.OrganisationByKey(key)
+//	regions := resolver.Homes(route, organisation)
 //
 // A Resolver is immutable and safe for concurrent use. A route look-up costs at
 // most one map access for each slash in the path.
