Cold servers: the node beside a server bounds what it gets while it is cold

Cause: a server that starts during traffic tolerates 13 requests a second for 3 s.

Package warmer decides whether the own server is cold, warm or unknown, and gates the admitter by tokens that stay below the stated bound in any second, also across a restart of the node. Health checks tell; their frequency follows the requests sent. Peers learn it with results and announcements, take an entry's cold time until then, and use warm servers first. The cold rate enters the excess that is throttled at the roots.

--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -89,9 +89,28 @@
 		MaxWait time.Duration
 	}
 
+	// A Gate limits the rate of admissions in addition to the rate that SetRate sets. Its
+	// methods are called with the Admitter's lock held.
+	Gate interface {
+		// IsLimited reports whether the rate is limited now.
+		IsLimited() bool
+		// Wait returns the time until n more requests may have been admitted.
+		Wait(now time.Time, n int) time.Duration
+		// Take records an admission.
+		Take(now time.Time)
+		// Utilisation returns the utilisation of the rate with a number of requests
+		// that wait; 0 if it is not limited.
+		Utilisation(now time.Time, waiting int) float64
+		// Left returns after what time the limit is likely to end; 0 if there is none.
+		Left() time.Duration
+	}
+
 	// An Admitter limits the concurrency of one backend server. The zero value
 	// admits nothing until SetLimit is called.
 	Admitter struct {
+		// Gate may be nil.
+		Gate Gate
+
 		mu              sync.Mutex
 		queueWait       time.Duration
 		limit           int
@@ -154,10 +173,35 @@
 func (a *Admitter) RateUtilisation() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.pacer.limited {
-		return 0
+	now, utilisation := time.Now(), 0.0
+	if a.pacer.limited {
+		utilisation = a.pacer.utilisation(now, len(a.waiters))
+	}
+	if a.Gate != nil {
+		utilisation = max(utilisation, a.Gate.Utilisation(now, len(a.waiters)))
+	}
+	return utilisation
+}
+
+// GateChanged admits waiting requests after the rate of the Gate has changed.
+func (a *Admitter) GateChanged() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admitWaiting()
+}
+
+// isPaced reports whether the rate of admissions is limited.
+func (a *Admitter) isPaced() bool {
+	return a.pacer.limited || a.Gate != nil && a.Gate.IsLimited()
+}
+
+// untilToken returns the time until n more requests may have been admitted.
+func (a *Admitter) untilToken(now time.Time, n int) time.Duration {
+	wait := a.pacer.untilToken(now, n)
+	if a.Gate != nil {
+		wait = max(wait, a.Gate.Wait(now, n))
 	}
-	return a.pacer.utilisation(time.Now(), len(a.waiters))
+	return wait
 }
 
 // Close refuses all new and waiting requests; running ones continue.
@@ -210,12 +254,12 @@
 		a.lastCritical = now
 	}
 	a.removeIdle(now)
-	if len(a.waiters) == 0 && a.hasFreeSlot(r.Class, now) && a.pacer.untilToken(now, 1) == 0 {
+	if len(a.waiters) == 0 && a.hasFreeSlot(r.Class, now) && a.untilToken(now, 1) == 0 {
 		a.admit(r, now)
 		return nil, nil
 	}
 	w := &waiter{Request: r, arrivedAt: now, result: make(chan error, 1)}
-	if a.pacer.limited && a.pacer.untilToken(now, 1+a.countPreceding(w, now)) > a.maxWait(r) {
+	if a.isPaced() && a.untilToken(now, 1+a.countPreceding(w, now)) > a.maxWait(r) {
 		return nil, &ShedError{Cause: QueueFull, RetryAfter: a.retryAfter()}
 	}
 	if err := a.enqueue(w, now); err != nil {
@@ -247,7 +291,7 @@
 func (a *Admitter) maxWait(r Request) time.Duration {
 	left := time.Until(r.Deadline)
 	if r.MaxWait > 0 {
-		if a.pacer.limited && r.Class == checker.ClassCritical {
+		if a.isPaced() && r.Class == checker.ClassCritical {
 			return min(criticalPacedWaitFactor*r.MaxWait, left)
 		}
 		return min(r.MaxWait, left)
@@ -311,6 +355,9 @@
 func (a *Admitter) admit(r Request, now time.Time) {
 	a.inFlight++
 	a.pacer.take(now)
+	if a.Gate != nil {
+		a.Gate.Take(now)
+	}
 	o := a.organisation(r.Organisation, now)
 	start := max(a.virtualTime, o.finishTag)
 	a.virtualTime = start
@@ -327,6 +374,11 @@
 // retryAfter returns the estimated time in which the queue drains, over which
 // retries are to be spread.
 func (a *Admitter) retryAfter() time.Duration {
+	if a.Gate != nil {
+		if left := a.Gate.Left(); left > 0 {
+			return max(minRetryAfter, left)
+		}
+	}
 	if a.pacer.limited {
 		return max(minRetryAfter, min(maxPacedRetryAfter, a.pacer.untilToken(time.Now(), 1+len(a.waiters))))
 	}
--- a/apricotd/internal/process/admitter/queue.go
+++ b/apricotd/internal/process/admitter/queue.go
@@ -56,7 +56,7 @@
 		if !a.hasFreeSlot(w.Class, now) {
 			return
 		}
-		if wait := a.pacer.untilToken(now, 1); wait > 0 {
+		if wait := a.untilToken(now, 1); wait > 0 {
 			a.admitAfter(wait)
 			return
 		}
--- a/apricotd/internal/process/noticer/directory.go
+++ b/apricotd/internal/process/noticer/directory.go
@@ -19,6 +19,13 @@
 	Directory struct {
 		mu      sync.Mutex
 		entries map[netip.Addr]*directoryEntry
+		cold    map[netip.Addr]coldEntry
+	}
+
+	// A coldEntry is what a node said last about the temperature of its backend server.
+	coldEntry struct {
+		server string
+		until  time.Time // zero: warm
 	}
 
 	directoryEntry struct {
@@ -35,6 +42,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordCold(node, m)
+	if m.Process == 0 {
+		return // it tells only that the server is cold
+	}
 	if d.entries == nil {
 		d.entries = make(map[netip.Addr]*directoryEntry)
 	}
@@ -44,6 +55,30 @@
 	d.entries[node] = &directoryEntry{notice: m, lastListed: time.Now()}
 }
 
+// recordCold records for how long a server stays cold. d.mu must be held.
+func (d *Directory) recordCold(node netip.Addr, m *linkwire.Notice) {
+	if d.cold == nil {
+		d.cold = make(map[netip.Addr]coldEntry)
+	}
+	e := coldEntry{server: m.Server}
+	if m.ColdMs > 0 {
+		e.until = time.Now().Add(time.Duration(m.ColdMs) * time.Millisecond)
+	}
+	d.cold[node] = e
+}
+
+// ColdLeft returns how long a server stays cold; 0 if it is warm. Until its node has said
+// something about it, its entry tells.
+func (d *Directory) ColdLeft(s *lister.Server) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	until := s.ColdUntil
+	if e, ok := d.cold[s.Address.Addr()]; ok && e.server == s.ID {
+		until = e.until
+	}
+	return max(0, time.Until(until))
+}
+
 // Notice returns the notice that is in force for a node's backend server, or nil.
 func (d *Directory) Notice(node netip.Addr) *linkwire.Notice {
 	d.mu.Lock()
@@ -87,4 +122,9 @@
 			delete(d.entries, node)
 		}
 	}
+	for node, e := range d.cold {
+		if _, listed := list.Server(e.server); !listed && now.After(e.until) {
+			delete(d.cold, node)
+		}
+	}
 }
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -75,6 +75,9 @@
 	// coldSlotFraction is the fraction of its slots that a server can use during
 	// its cold start.
 	coldSlotFraction = 0.5
+	// coldUtilisation is the utilisation of an idle server that is cold and limits its
+	// rate: warm servers are used first while they have room.
+	coldUtilisation = dataCentreSpillover
 	// distanceLevels counts local data centre, local region and other regions.
 	distanceLevels = 3
 )
@@ -122,6 +125,9 @@
 		// IsEvacuated reports whether the servers of a data centre may get no
 		// requests. If nil, no data centre is evacuated.
 		IsEvacuated func(dataCentre string) bool
+		// ColdRate returns the rate of requests per second that a server tolerates
+		// because it is cold; 0 if it is warm. If nil, no rate is limited so.
+		ColdRate func(*lister.Server) float64
 
 		mu      sync.Mutex
 		records map[string]*serverRecord // by server id
@@ -373,6 +379,9 @@
 	}
 	age := decayer.Factor(now.Sub(r.reportedAt), reportHalfLife)
 	utilisation := max(float64(r.load)*age/slots, float64(r.inFlight)/slots, r.rateUtilisation*age)
+	if p.ColdRate != nil && p.ColdRate(s) > 0 {
+		utilisation = coldUtilisation + (1-coldUtilisation)*utilisation
+	}
 	utilisation += failurePenalty * r.failureRate * decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife)
 	if now.Before(r.fullUntil) {
 		utilisation += fullPenalty
--- a/apricotd/internal/request/invoker/identity_test.go
+++ b/apricotd/internal/request/invoker/identity_test.go
@@ -176,7 +176,8 @@
 		Names: names, Exchanger: e, Admitter: &admitter.Admitter{}, Identifier: id,
 		Estimator: &estimator.Estimator{Load: func() estimator.Load { return estimator.Load{} }},
 		Tuner:     &tuner.Tuner{}, Correlator: &correlator.Correlator{}, Quarantine: &quarantiner.Quarantiner{},
-		Noticer: &noticer.Noticer{Names: names, Log: log}, Log: log, Metrics: metrics.NewSet(), OnBroken: func() {}, OnNewServer: func() {},
+		Noticer: &noticer.Noticer{Names: names, Log: log}, Log: log, Metrics: metrics.NewSet(), OnBroken: func() {}, OnNewServer: func(string) {},
+		OnUnreachable: func() {}, IsCold: func() bool { return false }, MarkCold: func(m *linkwire.Notice) *linkwire.Notice { return m },
 		Downstream: func(string) throttler.Overload { return throttler.Overload{} },
 	}
 	i.SetSlots(4)
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -106,7 +106,14 @@
 	// sending an answer.
 	OnBroken func()
 	// OnNewServer is called when the server has reported a new id in a response.
-	OnNewServer func()
+	OnNewServer func(id string)
+	// OnUnreachable is called when the server could not be connected to.
+	OnUnreachable func()
+	// IsCold reports whether the server is not known to be warm, if it has to be.
+	IsCold func() bool
+	// MarkCold adds to a notice of the server, which may be nil, for how long it stays
+	// cold.
+	MarkCold func(*linkwire.Notice) *linkwire.Notice
 	// Downstream returns the estimated overload of the pools that are called
 	// for a route.
 	Downstream func(route string) throttler.Overload
@@ -172,7 +179,7 @@
 		Leaving:   i.isLeaving(identity.Server),
 		ServiceMs: float64(i.meanServiceTime.Load()) / float64(time.Millisecond),
 
-		Notice:          i.Noticer.Message(),
+		Notice:          i.MarkCold(i.Noticer.Message()),
 		RateUtilisation: i.Admitter.RateUtilisation(),
 	}
 }
@@ -261,7 +268,7 @@
 		return result
 	}
 	i.adoptNotice(run)
-	if identity, refusal = i.check(run, deadline); refusal == nil && !i.Noticer.Notice(identity.Server).Limited {
+	if identity, refusal = i.check(run, deadline); refusal == nil && !i.Noticer.Notice(identity.Server).Limited && !i.IsCold() {
 		result, _ = i.send(ctx, run, identity, deadline)
 	}
 	return result
@@ -332,6 +339,7 @@
 			return refusalResult(ContextReason(ctx), o.Err.Error(), 0), false
 		}
 		i.Identifier.Reset()
+		i.OnUnreachable()
 		return refusalResult(Unreachable, o.Err.Error(), unreachableRetryAfter), false
 	case exchanger.NoResponse:
 		if o.ConnectionFailed {
@@ -387,7 +395,7 @@
 		actual := response.Fields.Get(i.Names.Server)
 		if i.Identifier.SetReported(actual) {
 			i.logChange(identity.Server, actual)
-			i.OnNewServer()
+			i.OnNewServer(actual)
 		}
 		idChanged = actual != "" && actual != identity.Server
 		i.Noticer.Observe(actual, response.Fields, sentAt, response.ReceivedAt)
--- /dev/null
+++ b/apricotd/mesher/cold_test.go
@@ -0,0 +1,204 @@
+package mesher
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"apricotrudder.dev/apricotd/version/lister"
+)
+
+const (
+	coldStart     = 3 * time.Second
+	coldPerSecond = 13
+	coldOvershoot = 1.5
+	coldSlack     = 8
+	coldBound     = 27 // coldPerSecond * coldOvershoot + coldSlack, rounded down
+)
+
+// limitColdServers publishes tables in which cold servers of all pools tolerate
+// coldPerSecond, and an organisation without a rate to speak of.
+func (f *fleet) limitColdServers() {
+	tables := baseTables(2)
+	for _, pool := range tables.Pools {
+		pool.ColdStart, pool.ColdRate = coldStart, coldPerSecond
+	}
+	tables.Organisations[0].Rate, tables.Organisations[0].Burst = 100000, 100000
+	f.store.publishTables(tables)
+	time.Sleep(2 * time.Second)
+}
+
+func (w *worker) chill(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = time.Now().Add(d)
+}
+
+// restartCold ends the backend servers of VMs and starts them again cold after a time,
+// with new ids and entries.
+func (f *fleet) restartCold(downtime time.Duration, names ...string) {
+	for _, name := range names {
+		f.vms[name].worker.end()
+	}
+	time.Sleep(downtime)
+	for _, name := range names {
+		m := f.vms[name]
+		m.worker.mu.Lock()
+		m.worker.id += "x"
+		m.worker.coldUntil = time.Now().Add(coldStart)
+		m.worker.mu.Unlock()
+		m.startedAt, m.sequence = time.Now(), 0
+		m.worker.start(f.t, f.network, m.worker.address)
+		f.publishServer(name, lister.Ready)
+	}
+}
+
+// checkCold fails the test if a server got more in a second while it was cold than its
+// bound, or nothing at all.
+func (f *fleet) checkCold(names ...string) {
+	f.t.Helper()
+	for _, name := range names {
+		w := f.vms[name].worker
+		w.mu.Lock()
+		arrivals := w.coldArrivals
+		w.mu.Unlock()
+		if got := mostWithin(arrivals, time.Second); got > coldBound {
+			f.t.Errorf("requests at cold server %s in one second: got %d, want at most %d", name, got, coldBound)
+		}
+		if len(arrivals) == 0 {
+			f.t.Errorf("requests at cold server %s: got none, want some", name)
+		}
+	}
+}
+
+// mostWithin returns the greatest number of times within a window.
+func mostWithin(times []time.Time, window time.Duration) int {
+	most := 0
+	for i := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at.Sub(times[i]) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Guards against a fleet that crashes its servers again and again: all servers start cold
+// at once under full load. When the cold time is over everything is served again.
+func TestAllServersStartCold(t *testing.T) {
+	runFleet(t, limitedServers, func(f *fleet) {
+		f.limitColdServers()
+		var wg sync.WaitGroup
+		wg.Go(func() { f.sendAtRate(200, 1500*time.Millisecond+coldStart, f.newSearch) })
+		f.restartCold(time.Second, "b", "c", "d")
+		cold := time.Now()
+		wg.Wait()
+		f.checkCold("b", "c", "d")
+		served := 0
+		for _, name := range []string{"b", "c", "d"} {
+			for _, r := range f.vms[name].worker.runs() {
+				if r.at.After(cold) && r.at.Before(cold.Add(coldStart)) {
+					served++
+				}
+			}
+		}
+		if got, want := served, 3*coldPerSecond*int(coldStart.Seconds()); got < want {
+			t.Errorf("requests served while cold: got %d, want at least what the servers tolerate, %d", got, want)
+		}
+		time.Sleep(500 * time.Millisecond)
+		after := f.sendAtRate(200, 2*time.Second, f.newSearch)
+		if got, want := countStatus(after, 200), len(after)*95/100; got < want {
+			t.Errorf("answered after the cold time: got %d of %d, want at least %d", got, len(after), want)
+		}
+	})
+}
+
+// Guards against losing requests that warm servers have room for: a data centre returns
+// cold amid a burst.
+func TestDataCentreReturnsColdAmidBurst(t *testing.T) {
+	runFleet(t, limitedServers, func(f *fleet) {
+		f.limitColdServers()
+		f.sendAtRate(60, time.Second, f.newSearch)
+		var responses []response
+		var wg sync.WaitGroup
+		wg.Go(func() { responses = f.sendAtRate(150, 6*time.Second, f.newSearch) })
+		f.restartCold(time.Second, "b")
+		wg.Wait()
+		f.checkCold("b")
+		if got, want := countStatus(responses, 200), len(responses)*98/100; got < want {
+			t.Errorf("answered: got %d of %d, want at least %d", got, len(responses), want)
+		}
+	})
+}
+
+// Guards against a cold server behind nodes that believe it warm: it becomes cold without
+// a restart while all nodes send to it.
+func TestServerBecomesColdAgain(t *testing.T) {
+	runFleet(t, limitedServers, func(f *fleet) {
+		f.limitColdServers()
+		var wg sync.WaitGroup
+		wg.Go(func() { f.sendAtRate(150, 8*time.Second, f.newSearch) })
+		for range 2 {
+			time.Sleep(700 * time.Millisecond)
+			f.vms["b"].worker.chill(2 * time.Second)
+			time.Sleep(2 * time.Second)
+		}
+		wg.Wait()
+		f.checkCold("b")
+	})
+}
+
+// Guards against refusing all requests of a pool with one server, and against crashing
+// it, while it is cold.
+func TestOnlyServerIsCold(t *testing.T) {
+	runFleet(t, oneLimitedServer, func(f *fleet) {
+		f.limitColdServers()
+		var wg sync.WaitGroup
+		wg.Go(func() { f.sendAtRate(120, 6*time.Second, f.newSearch) })
+		f.restartCold(time.Second, "b")
+		wg.Wait()
+		f.checkCold("b")
+		if got, want := len(f.vms["b"].worker.coldArrivals), coldPerSecond*int(coldStart.Seconds()); got < want {
+			t.Errorf("requests at the cold server: got %d, want at least %d", got, want)
+		}
+	})
+}
+
+// Guards against a bound that starts anew with the node: the node beside a cold server is
+// killed and starts again within the second.
+func TestNodeOfColdServerRestarts(t *testing.T) {
+	runFleet(t, limitedServers, func(f *fleet) {
+		f.limitColdServers()
+		var wg sync.WaitGroup
+		wg.Go(func() { f.sendAtRate(200, 5*time.Second, f.newSearch) })
+		f.restartCold(time.Second, "b")
+		for range 3 {
+			time.Sleep(600 * time.Millisecond)
+			f.killNode("b", 50*time.Millisecond)
+		}
+		wg.Wait()
+		f.checkCold("b")
+	})
+}
+
+// Guards against health checks and frames in deployments whose tables have no cold rates.
+func TestColdRateOfZeroLimitsNothing(t *testing.T) {
+	runFleet(t, limitedServers, func(f *fleet) {
+		f.raiseRateLimit()
+		f.vms["b"].worker.chill(time.Minute)
+		responses := f.sendAtRate(150, 3*time.Second, f.newSearch)
+		if got := countStatus(responses, 200); got != len(responses) {
+			t.Errorf("answered: got %d of %d, want all", got, len(responses))
+		}
+		n := f.vms["b"].node
+		if m := n.invoker.Load().Notice; m.GetColdMs() != 0 {
+			t.Errorf("notice: got a cold time of %d ms, want none", m.GetColdMs())
+		}
+		if _, ok := n.warmer.UntilProbe(); ok {
+			t.Error("health check: got one that is due, want none")
+		}
+	})
+}
--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -58,6 +58,7 @@
 	APIKey:        "Key",
 	RateLimit:     "Limit",
 	Leaving:       "Leaving",
+	ColdLeft:      "Cold",
 }
 
 type (
@@ -223,7 +224,7 @@
 				Callers: netip.AddrPortFrom(m.address, callersPort), Health: netip.AddrPortFrom(m.address, healthPort),
 				Links: netip.AddrPortFrom(m.address, linksPort), Operators: netip.AddrPortFrom(m.address, operatorsPort),
 			},
-			Backend: Backend{Address: netip.AddrPortFrom(m.address, serverPort), AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag},
+			Backend: Backend{Address: netip.AddrPortFrom(m.address, serverPort), AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag, ColdOvershoot: coldOvershoot, ColdSlack: coldSlack},
 			Limits:  Limits{StopWithin: decoder.Duration(6 * time.Second)},
 			Rates:   Rates{Overshoot: 0.25, Slack: 20, Window: decoder.Duration(5 * time.Second)},
 			Retries: Retries{Window: decoder.Duration(10 * time.Second), Ratio: 0.2, Allowance: 50},
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -54,8 +54,10 @@
 	"apricotrudder.dev/apricotd/internal/process/tuner"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
+	"apricotrudder.dev/apricotd/mesher/internal/warmer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/syncer"
+	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
 	"apricotrudder.dev/wire/linkwire"
 )
@@ -158,6 +160,7 @@
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
 	notices       *noticer.Directory
+	warmer        *warmer.Warmer
 	probeRequests chan struct{} // a probe is wanted before the next interval
 	checkingCrash atomic.Bool   // a crash check of the local backend server is under way
 	invoker       *invoker.Invoker
@@ -279,7 +282,10 @@
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
 	n.quarantine = &quarantiner.Quarantiner{}
-	admission := &admitter.Admitter{}
+	n.warmer = &warmer.Warmer{Overshoot: s.Backend.ColdOvershoot, Slack: s.Backend.ColdSlack, Log: n.Log}
+	admission := &admitter.Admitter{Gate: n.warmer}
+	n.warmer.OnChange = admission.GateChanged
+	n.warmer.Announce = func() { n.linker.Announce(nil) }
 	n.noticer = &noticer.Noticer{
 		Names:    n.Names,
 		Log:      n.Log,
@@ -288,20 +294,26 @@
 	}
 	n.notices = &noticer.Directory{}
 	n.invoker = &invoker.Invoker{
-		Names:       n.Names,
-		Exchanger:   n.exchanger,
-		Admitter:    admission,
-		Identifier:  n.identifier,
-		Estimator:   n.estimator,
-		Tuner:       &tuner.Tuner{},
-		Correlator:  n.correlator,
-		Quarantine:  n.quarantine,
-		Noticer:     n.noticer,
-		Log:         n.Log,
-		Metrics:     n.metrics,
-		OnBroken:    n.checkCrash,
-		OnNewServer: n.requestProbe,
-		Downstream:  func(route string) throttler.Overload { return n.proxier.Downstream(route) },
+		Names:      n.Names,
+		Exchanger:  n.exchanger,
+		Admitter:   admission,
+		Identifier: n.identifier,
+		Estimator:  n.estimator,
+		Tuner:      &tuner.Tuner{},
+		Correlator: n.correlator,
+		Quarantine: n.quarantine,
+		Noticer:    n.noticer,
+		Log:        n.Log,
+		Metrics:    n.metrics,
+		OnBroken:   n.checkCrash,
+		OnNewServer: func(id string) {
+			n.warmer.SetServer(id)
+			n.requestProbe()
+		},
+		OnUnreachable: func() { n.warmer.Doubt("unreachable") },
+		IsCold:        n.warmer.IsLimited,
+		MarkCold:      n.warmer.Mark,
+		Downstream:    func(route string) throttler.Overload { return n.proxier.Downstream(route) },
 	}
 	n.invoker.SetSlots(defaultSlots)
 	n.traffic = newTrafficCounter(n.metrics, n.scopeOf)
@@ -316,7 +328,7 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated}
+	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated, ColdRate: n.coldRate}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
@@ -407,13 +419,17 @@
 func (n *Node) localLoad() estimator.Load {
 	load := n.invoker.Load()
 	_, notice := n.noticer.Current()
+	limited, maxRate := notice.Limited, notice.Rate
+	if rate, cold := n.warmer.Rate(); cold && (!limited || rate < maxRate) {
+		limited, maxRate = true, rate
+	}
 	return estimator.Load{
 		Running:         int(load.Running),
 		Waiting:         int(load.Waiting),
 		Slots:           int(load.Slots),
 		MeanServiceTime: time.Duration(load.ServiceMs * float64(time.Millisecond)),
-		MaxRate:         notice.Rate,
-		RateLimited:     notice.Limited,
+		MaxRate:         maxRate,
+		RateLimited:     limited,
 	}
 }
 
@@ -435,6 +451,20 @@
 	return initialLimits
 }
 
+// coldRate returns the rate of requests that a server tolerates while it is cold, as it
+// is taken to be until its node has said that it is warm; 0 if it is warm.
+func (n *Node) coldRate(s *lister.Server) float64 {
+	r := n.syncer.Resolver()
+	if r == nil {
+		return 0
+	}
+	pool := r.Tables.Pools[s.Pool]
+	if pool == nil || pool.ColdRate == 0 || n.notices.ColdLeft(s) == 0 {
+		return 0
+	}
+	return pool.ColdRate
+}
+
 // isEvacuated reports whether the operator has had a data centre evacuated.
 func (n *Node) isEvacuated(dataCentre string) bool {
 	list := n.syncer.List()
@@ -485,6 +515,12 @@
 	if s, ok, _ := n.identifier.Listed(identity.Server); ok && s.Slots > 0 {
 		n.invoker.SetSlots(s.Slots)
 	}
+	if r := n.syncer.Resolver(); r != nil {
+		if pool := r.Tables.Pools[n.localPool()]; pool != nil {
+			n.warmer.SetPool(pool.ColdStart, pool.ColdRate)
+		}
+	}
+	n.warmer.SetEvacuated(n.isEvacuated(n.Settings.DataCentre))
 	if list := n.syncer.List(); list != nil {
 		n.picker.Prune(list)
 		n.notices.Prune(list)
--- a/apricotd/mesher/notices.go
+++ b/apricotd/mesher/notices.go
@@ -22,10 +22,11 @@
 // announcedNotice returns the notice for unsolicited heartbeats. It is nil if
 // there has been none for some time.
 func (n *Node) announcedNotice() *linkwire.Notice {
-	if !n.noticer.ChangedWithin(noticeRepeat) {
-		return nil
+	var m *linkwire.Notice
+	if n.noticer.ChangedWithin(noticeRepeat) || n.warmer.AnnouncedWithin(noticeRepeat) {
+		m = n.noticer.Message()
 	}
-	return n.noticer.Message()
+	return n.warmer.Mark(m)
 }
 
 // refreshNotices periodically asks the nodes of leaving servers for their notice.
@@ -37,7 +38,7 @@
 		}
 		for _, node := range n.notices.LeavingNodes(list) {
 			if node == n.Settings.Listen.Links.Addr() {
-				n.notices.Record(node, n.noticer.Message())
+				n.notices.Record(node, n.warmer.Mark(n.noticer.Message()))
 				continue
 			}
 			beat := n.beat()
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -12,6 +12,7 @@
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
+	"apricotrudder.dev/apricotd/mesher/internal/warmer"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -124,6 +125,9 @@
 	if !n.identifier.IsReported() || n.noticer.NeedsProbe(noticeProbeAfter) {
 		return true
 	}
+	if left, ok := n.warmer.UntilProbe(); ok && left == 0 {
+		return true
+	}
 	confirmed, ok := n.identifier.LastConfirmed()
 	return n.Settings.Backend.AddressReuse > 0 && (!ok || confirmed > n.maxUnconfirmed())
 }
@@ -135,7 +139,11 @@
 	confirmed, ok := n.identifier.LastConfirmed()
 	switch {
 	case n.identifier.IsReported():
-		return min(probeInterval, max(minProbeWait, n.maxUnconfirmed()-confirmed))
+		wait := min(probeInterval, max(minProbeWait, n.maxUnconfirmed()-confirmed))
+		if left, ok := n.warmer.UntilProbe(); ok {
+			wait = min(wait, left)
+		}
+		return wait
 	case ok && confirmed < time.Duration(n.Settings.Backend.AddressReuse):
 		return restartProbeInterval
 	}
@@ -207,6 +215,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	probe := n.warmer.BeginProbe()
 	sentAt := time.Now()
 	outcome := n.exchanger.Do(ctx, &exchanger.Call{
 		Method:     http.MethodGet,
@@ -220,8 +229,12 @@
 	}
 	response, ok := outcome.(exchanger.Response)
 	if !ok {
+		n.warmer.Doubt("health check not answered")
 		return nil, errors.New("backend server did not answer its health check")
 	}
+	if response.Fields.Get(n.Names.NotRun) == "" {
+		n.warmer.Observe(probe, response.Fields.Get(n.Names.Server), warmer.ParseStatement(response.Fields.Get(n.Names.ColdLeft)))
+	}
 	n.noticer.Observe(response.Fields.Get(n.Names.Server), response.Fields, sentAt, response.ReceivedAt)
 	if id := response.Fields.Get(n.Names.Server); id != "" {
 		n.identifier.Confirm(identifier.Identity{Server: id}, sentAt)
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -58,6 +58,11 @@
 		// SettingsLag is how long after the start of a backend server the settings file
 		// may still name the pool of the one before it at the address; the default is 1.8 s.
 		SettingsLag decoder.Duration `toml:"settingsLag"`
+		// ColdOvershoot is the factor by which the requests that a cold backend server
+		// gets in a second may exceed those that it tolerates; the default is 1.
+		ColdOvershoot float64 `toml:"coldOvershoot"`
+		// ColdSlack is a number of requests in a second permitted in addition.
+		ColdSlack float64 `toml:"coldSlack"`
 	}
 
 	// Store describes the platform's metadata store.
@@ -155,6 +160,7 @@
 		{"rates.overshoot", s.Rates.Overshoot}, {"rates.slack", s.Rates.Slack},
 		{"retries.ratio", s.Retries.Ratio}, {"retries.allowance", s.Retries.Allowance},
 		{"limits.memoryMB", float64(s.Limits.MemoryMB)},
+		{"backend.coldOvershoot", s.Backend.ColdOvershoot}, {"backend.coldSlack", s.Backend.ColdSlack},
 	} {
 		if f.value < 0 {
 			addError(f.key, fmt.Sprint(f.value), "0 or more")
--- a/apricotd/mesher/state.go
+++ b/apricotd/mesher/state.go
@@ -71,7 +71,7 @@
 func (n *Node) handleBeat(l *linker.Link, b *linkwire.Beat) {
 	if b.Reply {
 		reply := n.beat()
-		reply.Notice = n.noticer.Message()
+		reply.Notice = n.warmer.Mark(n.noticer.Message())
 		l.Send(&linkwire.Frame{Kind: &linkwire.Frame_Beat{Beat: reply}})
 	}
 	n.notices.Record(l.Peer, b.Notice)
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -70,6 +70,8 @@
 		shedRatio    float64 // fraction of requests rejected at random; needs a queueLimit
 		maxBusy      int
 		lastResponse string // for staleResponse
+		coldUntil    time.Time
+		coldArrivals []time.Time // of requests and health checks while it was cold, without rejected ids
 		scripted     struct {
 			status string
 			fields string // header lines
@@ -203,12 +205,19 @@
 	w.mu.Lock()
 	injected, id, unhealthy, stated := w.fault, w.id, w.unhealthy, w.stated()
 	w.arrivalTimes = append(w.arrivalTimes, time.Now())
+	coldLeft := time.Until(w.coldUntil)
+	if wanted := r.Header.Get("Want"); coldLeft > 0 && (wanted == "" || wanted == id) {
+		w.coldArrivals = append(w.coldArrivals, time.Now())
+	}
 	w.mu.Unlock()
 	if r.URL.Path == "/health" {
 		status := "200 OK"
 		if unhealthy {
 			status = "503 Service Unavailable"
 		}
+		if coldLeft > 0 {
+			stated += fmt.Sprintf("Cold: %d\r\n", coldLeft.Milliseconds()+1)
+		}
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 %s\r\nServer: %s\r\n%sContent-Length: 0\r\n\r\n", status, id, stated)
 		return err == nil
 	}
--- a/apricotd/namer/namer.go
+++ b/apricotd/namer/namer.go
@@ -35,6 +35,9 @@
 	RateLimit string
 	// Leaving shows that the responding backend server accepts no new requests.
 	Leaving string
+	// ColdLeft states in the response to a health check for how long the responding
+	// backend server stays cold, in milliseconds.
+	ColdLeft string
 }
 
 // IsReserved reports whether only nodes may set a field.
