--- a/apricotd/mesher/internal/warmer/warmer.go
+++ b/apricotd/mesher/internal/warmer/warmer.go
@@ -53,10 +53,10 @@
 	// may have taken them for health checks, which don't wait for tokens.
 	startDebt = 2
 	// probeRatio is the part of the bound after which a warm server is probed again.
-	probeRatio = 0.8
+	probeRatio = 0.6
 	// minProbeGap is the least time between two probes of a warm server, and maxProbeGap
 	// the greatest.
-	minProbeGap = 100 * time.Millisecond
+	minProbeGap = 50 * time.Millisecond
 	maxProbeGap = time.Second
 	// coldProbeGap is the time between two probes of a cold server, each of which takes
 	// the place of a request.
@@ -104,6 +104,9 @@
 		// no lock held and may be nil.
 		OnChange func()
 		Announce func()
+		// WantProbe is called, with the lock held, when so many requests have been taken
+		// that a health check is due. It must not block or call the Warmer, and may be nil.
+		WantProbe func()
 
 		mu          sync.Mutex
 		coldStart   time.Duration
@@ -253,6 +256,7 @@
 		"evidence":      w.evidence,
 		"evidenceAgeMs": now.Sub(w.observedAt).Milliseconds(),
 		"coldLeftMs":    w.left(now).Milliseconds(),
+		"bound":         w.bound(),
 	}
 	if w.observedAt.IsZero() {
 		delete(fields, "evidenceAgeMs")
@@ -308,6 +312,9 @@
 	}
 	w.refill(now)
 	w.taken++
+	if w.state == Warm && w.WantProbe != nil && w.needsProbeAfter(w.taken) && !w.needsProbeAfter(w.taken-1) {
+		w.WantProbe()
+	}
 	// Requests of more than a second ago count no more, whatever their number.
 	w.tokens = max(w.tokens-1, -w.rate())
 }
@@ -401,10 +408,10 @@
 	switch w.state {
 	case Warm:
 		gap = maxProbeGap
-		if float64(w.taken-w.probeTaken) >= probeRatio*w.bound() {
+		if w.needsProbeAfter(w.taken) {
 			gap = minProbeGap
 		}
-		return min(minProbeGap, max(0, gap-since)), true
+		return max(0, gap-since), true
 	case Cold:
 		gap = coldProbeGap
 		if left := w.coldUntil.Sub(w.probedAt); left > 0 {
@@ -425,6 +432,12 @@
 	return !w.announcedAt.IsZero() && time.Since(w.announcedAt) < d
 }
 
+// needsProbeAfter reports whether a warm server is to be probed once a number of requests
+// have been taken.
+func (w *Warmer) needsProbeAfter(taken uint64) bool {
+	return float64(taken-w.probeTaken) >= probeRatio*w.bound()
+}
+
 // Mark adds the cold time to what the node tells peers about the server. m may be nil,
 // and is returned unchanged if the server is warm, or was warm until its state was put in
 // doubt, which the next health check clears up.
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -284,6 +284,7 @@
 	n.quarantine = &quarantiner.Quarantiner{}
 	n.warmer = &warmer.Warmer{Overshoot: s.Backend.ColdOvershoot, Slack: s.Backend.ColdSlack, Log: n.Log}
 	admission := &admitter.Admitter{Gate: n.warmer}
+	n.warmer.WantProbe = n.requestProbe
 	n.warmer.OnChange = admission.GateChanged
 	n.warmer.Announce = func() { n.linker.Announce(nil) }
 	n.noticer = &noticer.Noticer{
