The shortage of a cold pool is forgotten when its servers have warmed up

Cause: after all servers were warm again, requests were throttled at the roots for another four seconds: the excess decays with half-lives of a second at each of three hops, and few requests pass that could bring newer reports.

Reports made while most servers of the bottleneck are cold are marked; a node drops them when it hears that a server of that pool has warmed up, and a server that warms up forgets its own estimate. Retry-After of throttled requests is the cold time left.

--- a/apricotd/internal/process/estimator/estimator.go
+++ b/apricotd/internal/process/estimator/estimator.go
@@ -106,6 +106,15 @@
 	e.refused++
 }
 
+// Reset forgets the demand and the excess, after a change of the capacity that makes them
+// worthless.
+func (e *Estimator) Reset() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admitted, e.refused, e.throttledSum = 0, 0, 0
+	e.occupancy, e.arrivalRate, e.throttledFraction, e.excess, e.demand = 0, 0, 0, 0, 0
+}
+
 // Excess returns the fraction of the demand that exceeds the capacity.
 func (e *Estimator) Excess() float64 {
 	e.mu.Lock()
--- a/apricotd/internal/process/noticer/directory.go
+++ b/apricotd/internal/process/noticer/directory.go
@@ -17,9 +17,14 @@
 	// A Directory holds the newest notice of each node's backend server. The zero
 	// value is ready to use. Memory use is one notice per node that has sent one.
 	Directory struct {
-		mu      sync.Mutex
-		entries map[netip.Addr]*directoryEntry
-		cold    map[netip.Addr]coldEntry
+		// OnWarm is called after a node has told that its backend server, which was
+		// cold, is warm. It may be nil.
+		OnWarm func(server string)
+
+		mu        sync.Mutex
+		entries   map[netip.Addr]*directoryEntry
+		cold      map[netip.Addr]coldEntry
+		coldUntil time.Time // the latest that any node has said
 	}
 
 	// A coldEntry is what a node said last about the temperature of its backend server.
@@ -40,31 +45,50 @@
 	if m == nil {
 		return
 	}
+	if d.record(node, m) && d.OnWarm != nil {
+		d.OnWarm(m.Server)
+	}
+}
+
+// record reports whether the server has become warm.
+func (d *Directory) record(node netip.Addr, m *linkwire.Notice) (becameWarm bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.recordCold(node, m)
+	becameWarm = d.recordCold(node, m)
 	if m.Process == 0 {
-		return // it tells only that the server is cold
+		return becameWarm // it tells only that the server is cold
 	}
 	if d.entries == nil {
 		d.entries = make(map[netip.Addr]*directoryEntry)
 	}
 	if old := d.entries[node]; old != nil && old.notice.Process == m.Process && old.notice.Sequence >= m.Sequence {
-		return
+		return becameWarm
 	}
 	d.entries[node] = &directoryEntry{notice: m, lastListed: time.Now()}
+	return becameWarm
 }
 
-// recordCold records for how long a server stays cold. d.mu must be held.
-func (d *Directory) recordCold(node netip.Addr, m *linkwire.Notice) {
+// recordCold records for how long a server stays cold, and reports whether it has become
+// warm. d.mu must be held.
+func (d *Directory) recordCold(node netip.Addr, m *linkwire.Notice) (becameWarm bool) {
 	if d.cold == nil {
 		d.cold = make(map[netip.Addr]coldEntry)
 	}
+	old := d.cold[node]
 	e := coldEntry{server: m.Server}
 	if m.ColdMs > 0 {
 		e.until = time.Now().Add(time.Duration(m.ColdMs) * time.Millisecond)
+		d.coldUntil = later(d.coldUntil, e.until)
 	}
 	d.cold[node] = e
+	return m.ColdMs == 0 && old.server == m.Server && !old.until.IsZero()
+}
+
+// MayBeCold reports whether any server is cold by what its node has said.
+func (d *Directory) MayBeCold() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.coldUntil)
 }
 
 // ColdLeft returns how long a server stays cold; 0 if it is warm. Until its node has said
--- a/apricotd/internal/process/noticer/noticer_test.go
+++ b/apricotd/internal/process/noticer/noticer_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -191,3 +192,31 @@
 		t.Error("server that has started again: got leaving, want usable")
 	}
 }
+
+// Guards against peers that take a server for cold or warm against what its node said last,
+// and against its entry that is older than that.
+func TestDirectoryKnowsColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := netip.MustParseAddr("10.0.0.1")
+		server := &lister.Server{ID: "i", Address: netip.AddrPortFrom(node, 5), ColdUntil: time.Now().Add(2 * time.Second)}
+		var warmed []string
+		d := &Directory{OnWarm: func(server string) { warmed = append(warmed, server) }}
+		check := func(when string, want time.Duration) {
+			t.Helper()
+			if got := d.ColdLeft(server); got != want {
+				t.Errorf("cold time left %s: got %v, want %v", when, got, want)
+			}
+		}
+		check("by the entry alone", 2*time.Second)
+		d.Record(node, &linkwire.Notice{Server: "j", Process: 1, Sequence: 1})
+		check("after a notice of the server before it", 2*time.Second)
+		d.Record(node, &linkwire.Notice{Server: "i", ColdMs: 3000})
+		time.Sleep(time.Second)
+		check("one second after the node said 3 s", 2*time.Second)
+		d.Record(node, &linkwire.Notice{Server: "i", Process: 1, Sequence: 2})
+		check("after the node said that it is warm", 0)
+		if len(warmed) != 1 || warmed[0] != "i" || d.Notice(node) != nil {
+			t.Errorf("warmed up: got %v and notice %v, want [i] and none", warmed, d.Notice(node))
+		}
+	})
+}
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -58,6 +58,9 @@
 		Bottleneck string // pool
 		// Demand on the reporting server, in requests per second.
 		Demand float64
+		// Cold reports whether the pool was short of capacity because its servers were
+		// cold.
+		Cold bool
 		// Reporter is the server with the newest report of an estimate, and Age the
 		// age of that report.
 		Reporter string
@@ -96,6 +99,21 @@
 	r.bottleneck, r.reporter, r.reportedAt = o.Bottleneck, server, time.Now()
 }
 
+// ForgetCold drops the reports of a shortage that ends because servers of the pool have
+// warmed up. They would otherwise outlast it by seconds, since few requests pass that
+// could bring newer ones.
+func (t *Throttler) ForgetCold(pool string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.routes {
+		for server, rep := range r.reports {
+			if rep.Cold && rep.Bottleneck == pool {
+				delete(r.reports, server)
+			}
+		}
+	}
+}
+
 // Estimate returns the estimated overload of a route's call trees.
 func (t *Throttler) Estimate(name string) Overload {
 	t.mu.Lock()
@@ -196,7 +214,7 @@
 // overloaded server does not make a pool count as overloaded while the others
 // have spare capacity.
 func (r *route) meanOverload(now time.Time) Overload {
-	weightedSum, totalWeight := 0.0, 0.0
+	weightedSum, totalWeight, cold := 0.0, 0.0, false
 	for server, rep := range r.reports {
 		age := now.Sub(rep.receivedAt)
 		if age > expireAfter {
@@ -206,11 +224,12 @@
 		weight := decayer.Factor(age, reportHalfLife) * max(minDemand, rep.Demand)
 		weightedSum += weight * rep.Excess
 		totalWeight += weight
+		cold = cold || rep.Cold
 	}
 	if totalWeight == 0 {
 		return Overload{}
 	}
-	return Overload{Excess: weightedSum / totalWeight, Bottleneck: r.bottleneck}
+	return Overload{Excess: weightedSum / totalWeight, Bottleneck: r.bottleneck, Cold: cold}
 }
 
 func (r *route) decayedDemand(now time.Time) float64 {
--- a/apricotd/internal/process/throttler/throttler_test.go
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -103,3 +103,22 @@
 		}
 	})
 }
+
+// Guards against refusals that outlast the shortage: the servers of a pool were cold and
+// have warmed up, and few requests pass that could bring newer reports.
+func TestShortageOfColdPoolIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		th := &Throttler{}
+		for _, server := range []string{"i1", "i2"} {
+			th.Observe("search", server, Overload{Excess: 0.9, Bottleneck: "stock", Demand: 100, Cold: true})
+		}
+		th.Observe("order", "i3", Overload{Excess: 0.5, Bottleneck: "stock", Demand: 100})
+		th.Observe("list", "i4", Overload{Excess: 0.5, Bottleneck: "orders", Demand: 100, Cold: true})
+		th.ForgetCold("stock")
+		for route, want := range map[string]float64{"search": 0, "order": 0.5, "list": 0.5} {
+			if got := th.Estimate(route).Excess; got != want {
+				t.Errorf("excess of route %s: got %v, want %v", route, got, want)
+			}
+		}
+	})
+}
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -108,13 +108,38 @@
 // server that limits its rate causes no throttling while others of the pool have
 // no limit, because those may never have been asked.
 func (p *Proxier) reportedOverload(pool string, load *linkwire.Load) throttler.Overload {
-	o := throttler.Overload{Excess: load.Excess, Bottleneck: load.Bottleneck, Demand: load.Demand}
+	o := throttler.Overload{Excess: load.Excess, Bottleneck: load.Bottleneck, Demand: load.Demand, Cold: p.coldLeft(load.Bottleneck) > 0}
 	if load.GetNotice().GetLimited() && load.Bottleneck == pool && p.hasUnlimitedServer(pool) {
 		o.Excess = min(0, o.Excess)
 	}
 	return o
 }
 
+// coldLeft returns after what time the first servers of a pool become warm, if most of
+// those that are ready are cold, or else 0.
+func (p *Proxier) coldLeft(pool string) time.Duration {
+	if !p.Notices.MayBeCold() {
+		return 0
+	}
+	ready, cold, least := 0, 0, time.Duration(0)
+	for _, s := range p.List().Pool(pool) {
+		if s.State != lister.Ready {
+			continue
+		}
+		ready++
+		if left := p.Notices.ColdLeft(s); left > 0 {
+			cold++
+			if least == 0 || left < least {
+				least = left
+			}
+		}
+	}
+	if 2*cold <= ready {
+		return 0
+	}
+	return least
+}
+
 func (p *Proxier) hasUnlimitedServer(pool string) bool {
 	for _, s := range p.List().Pool(pool) {
 		m := p.Notices.Notice(s.Address.Addr())
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -257,11 +257,15 @@
 	if rand.Float64() >= fraction {
 		return nil
 	}
+	temperature := ""
+	if overload.Cold {
+		temperature = ", because its servers are cold,"
+	}
 	return refused{
 		reason: reasonThrottled,
-		detail: fmt.Sprintf("pool %s is the bottleneck with an excess of %.2f (newest report: server %s, %d ms ago); rejecting a fraction of %.2f of the requests of rank %d",
-			overload.Bottleneck, overload.Excess, overload.Reporter, overload.Age.Milliseconds(), fraction, rq.rank),
-		retryAfter: throttledRetryAfter,
+		detail: fmt.Sprintf("pool %s is the bottleneck%s with an excess of %.2f (newest report: server %s, %d ms ago); rejecting a fraction of %.2f of the requests of rank %d",
+			overload.Bottleneck, temperature, overload.Excess, overload.Reporter, overload.Age.Milliseconds(), fraction, rq.rank),
+		retryAfter: max(throttledRetryAfter, p.coldLeft(overload.Bottleneck)),
 	}
 }
 
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -286,14 +286,22 @@
 	admission := &admitter.Admitter{Gate: n.warmer}
 	n.warmer.WantProbe = n.requestProbe
 	n.warmer.OnChange = admission.GateChanged
-	n.warmer.Announce = func() { n.linker.Announce(nil) }
+	n.warmer.Announce = func() {
+		if !n.warmer.IsLimited() {
+			n.estimator.Reset()
+		}
+		if m := n.warmer.Mark(n.noticer.Message()); m != nil {
+			n.notices.Record(n.Settings.Listen.Links.Addr(), m)
+		}
+		n.linker.Announce(nil)
+	}
 	n.noticer = &noticer.Noticer{
 		Names:    n.Names,
 		Log:      n.Log,
 		SetRate:  admission.SetRate,
 		OnChange: func() { n.linker.Announce(nil) },
 	}
-	n.notices = &noticer.Directory{}
+	n.notices = &noticer.Directory{OnWarm: n.forgetCold}
 	n.invoker = &invoker.Invoker{
 		Names:      n.Names,
 		Exchanger:  n.exchanger,
@@ -466,6 +474,15 @@
 	return pool.ColdRate
 }
 
+// forgetCold drops what is known of a shortage in the pool of a server that has warmed up.
+func (n *Node) forgetCold(server string) {
+	if list := n.syncer.List(); list != nil {
+		if s, ok := list.Server(server); ok {
+			n.proxier.Throttler.ForgetCold(s.Pool)
+		}
+	}
+}
+
 // isEvacuated reports whether the operator has had a data centre evacuated.
 func (n *Node) isEvacuated(dataCentre string) bool {
 	list := n.syncer.List()
