--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -66,7 +66,7 @@
 	"rateExceeded":     "the owner of the organisation's bucket refused it, because the organisation had used up its rate; no server was asked",
 	"throttled":        "this node refused it before it asked a server, because it believed that a pool which the request needs is overloaded",
 	"noServer":         "this node refused it, because it knew no server of the pool that it could use",
-	"overloaded":       "the node beside the server refused it, because no slot became free in time; it has not run",
+	"overloaded":       "the node beside the server refused it, because no slot became free in time, or because its server was cold and had got as many requests as it tolerates (see the detail); it has not run",
 	"leaving":          "the node beside the server refused it, because the server or that node accepts nothing new; it has not run",
 	"wrongPool":        "the node beside the server refused it, because its server belongs to another pool; it has not run",
 	"unidentified":     "the node beside the server refused it, because nothing showed yet to which pool its server belongs; it has not run",
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -232,6 +232,10 @@
 		result := shedResult(err)
 		if result.GetRefusal().Reason == Overloaded {
 			i.Estimator.RecordRefused()
+			if i.IsCold() {
+				result.GetRefusal().Detail += "; the backend server is not known to be warm"
+				i.Metrics.GetOrCreateCounter("apricot_backend_cold_refusals_total").Inc()
+			}
 		}
 		return result
 	}
--- a/apricotd/mesher/internal/warmer/warmer.go
+++ b/apricotd/mesher/internal/warmer/warmer.go
@@ -15,10 +15,10 @@
 //
 // # Usage
 //
-//	w := &warmer.Warmer{Overshoot: 1.5, Slack: 8, Log: log, OnChange: announce}
+//	w := &warmer.Warmer{Overshoot: 1.5, Slack: 8, Log: log, OnChange: admit, Announce: announce}
 //	w.SetPool(pool.ColdStart, pool.ColdRate)
 //	probe := w.BeginProbe()
-//	w.Observe(probe, server, warmer.Statement{Left: left})
+//	w.Observe(probe, server, warmer.ParseStatement(value))
 //	if w.Wait(now, 1) == 0 { w.Take(now) }
 //
 // A Warmer with a cold rate of 0 limits nothing. All methods take constant time.
@@ -125,8 +125,7 @@
 		taken       uint64 // requests and probes
 		probedAt    time.Time
 		probeTaken  uint64 // value of taken at the last probe
-		refused     uint64
-		marked      bool // a peer has been told that the server is cold
+		marked      bool   // a peer has been told that the server is cold
 		announcedAt time.Time
 	}
 )
@@ -324,22 +323,6 @@
 	w.refilledAt = now
 }
 
-// CountRefused counts a request that was refused because the server is not known to be
-// warm.
-func (w *Warmer) CountRefused() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.refused++
-}
-
-// Refused returns the number of requests refused because the server was not known to be
-// warm.
-func (w *Warmer) Refused() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.refused
-}
-
 // Utilisation returns the utilisation of the cold rate, with a number of requests that
 // wait: 1 if no further request may start now, 0 if the rate is not limited.
 func (w *Warmer) Utilisation(now time.Time, waiting int) float64 {
--- a/apricotd/mesher/internal/warmer/warmer_test.go
+++ b/apricotd/mesher/internal/warmer/warmer_test.go
@@ -50,7 +50,8 @@
 		evacuated bool
 		waiting   float64
 		arrivals  []time.Time // while it is cold
-		believed  []time.Time // those of arrivals that the Warmer took to be for a warm server
+		proved    bool        // the last health check since the last doubt found it warm
+		believed  []time.Time // those of arrivals that came while it was proved
 	}
 )
 
@@ -83,7 +84,7 @@
 	now := time.Now()
 	if now.Before(m.coldUntil) {
 		m.arrivals = append(m.arrivals, now)
-		if !m.warmer.IsLimited() {
+		if m.proved {
 			m.believed = append(m.believed, now)
 		}
 	}
@@ -97,6 +98,7 @@
 		left := max(0, time.Until(m.coldUntil))
 		time.Sleep(time.Millisecond)
 		m.warmer.Observe(p, m.id, Statement{Left: left})
+		m.proved = left == 0 && !m.evacuated
 	}
 	m.waiting = min(300, m.waiting+m.steadyRate*tick.Seconds())
 	for m.waiting >= 1 && m.warmer.Wait(time.Now(), 1) == 0 && !m.evacuated {
@@ -107,6 +109,7 @@
 }
 
 func (m *model) apply(e event) {
+	m.proved = m.proved && (e.kind == burst || e.kind == chill)
 	switch e.kind {
 	case burst:
 		m.waiting = min(300, m.waiting+float64(e.requests))
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -95,6 +95,7 @@
 	n.metrics.NewGauge("apricot_concurrency_limit", func() float64 { return float64(n.invoker.Load().Slots) })
 	n.metrics.NewGauge("apricot_backend_requests_sent", func() float64 { return float64(n.invoker.SentCount()) })
 	n.metrics.NewGauge("apricot_backend_rate_limit", n.rateLimit)
+	n.metrics.NewGauge("apricot_backend_cold_seconds", func() float64 { return n.warmer.Left().Seconds() })
 	n.metrics.NewGauge("apricot_backend_unidentified_seconds", n.unidentifiedSeconds)
 	n.metrics.NewGauge("apricot_backend_malformed_notices", func() float64 { return float64(n.noticer.Malformed()) })
 	n.metrics.NewGauge("apricot_memory_limit_bytes", func() float64 { return float64(n.memory.Limit) })
