--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -69,7 +69,7 @@
 	"noHome":           "this node refused it, because its route and its organisation have no home region in common; no server was asked",
 	"noHomeServer":     "this node refused it, because no server in its home regions was usable; it is not sent elsewhere",
 	"outsideHome":      "the node beside the server refused it, because by that node's tables its region is none of the home regions; it has not run",
-	"overloaded":       "the node beside the server refused it, because no slot became free in time; it has not run",
+	"overloaded":       "the node beside the server refused it, because no slot became free in time, or because its server was cold and had got as many requests as it tolerates (see the detail); it has not run",
 	"leaving":          "the node beside the server refused it, because the server or that node accepts nothing new; it has not run",
 	"wrongPool":        "the node beside the server refused it, because its server belongs to another pool; it has not run",
 	"unidentified":     "the node beside the server refused it, because nothing showed yet to which pool its server belongs; it has not run",
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -54,8 +54,10 @@
 	"apricotrudder.dev/apricotd/internal/process/tuner"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
+	"apricotrudder.dev/apricotd/mesher/internal/warmer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/syncer"
+	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
 	"apricotrudder.dev/wire/linkwire"
 )
@@ -163,6 +165,7 @@
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
 	notices       *noticer.Directory
+	warmer        *warmer.Warmer
 	probeRequests chan struct{} // a probe is wanted before the next interval
 	checkingCrash atomic.Bool   // a crash check of the local backend server is under way
 	invoker       *invoker.Invoker
@@ -284,32 +287,50 @@
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
 	n.quarantine = &quarantiner.Quarantiner{}
-	admission := &admitter.Admitter{}
+	n.warmer = &warmer.Warmer{Overshoot: s.Backend.ColdOvershoot, Slack: s.Backend.ColdSlack, Log: n.Log}
+	admission := &admitter.Admitter{Gate: n.warmer}
+	n.warmer.WantProbe = n.requestProbe
+	n.warmer.OnChange = admission.GateChanged
+	n.warmer.Announce = func() {
+		if !n.warmer.IsLimited() {
+			n.estimator.Reset()
+		}
+		if m := n.warmer.Mark(n.noticer.Message()); m != nil {
+			n.notices.Record(n.Settings.Listen.Links.Addr(), m)
+		}
+		n.linker.Announce(nil)
+	}
 	n.noticer = &noticer.Noticer{
 		Names:    n.Names,
 		Log:      n.Log,
 		SetRate:  admission.SetRate,
 		OnChange: func() { n.linker.Announce(nil) },
 	}
-	n.notices = &noticer.Directory{}
+	n.notices = &noticer.Directory{OnWarm: n.forgetCold}
 	n.invoker = &invoker.Invoker{
-		Names:       n.Names,
-		Exchanger:   n.exchanger,
-		Admitter:    admission,
-		Identifier:  n.identifier,
-		Estimator:   n.estimator,
-		Tuner:       &tuner.Tuner{},
-		Correlator:  n.correlator,
-		Quarantine:  n.quarantine,
-		Noticer:     n.noticer,
-		Log:         n.Log,
-		Metrics:     n.metrics,
-		Region:      s.Region,
-		Homes:       n.homes,
-		OnBroken:    n.checkCrash,
-		OnNewServer: n.requestProbe,
-		Downstream:  func(route string) throttler.Overload { return n.proxier.Downstream(route) },
-		IsEvacuated: func() bool { return n.isEvacuated(s.DataCentre) },
+		Names:      n.Names,
+		Exchanger:  n.exchanger,
+		Admitter:   admission,
+		Identifier: n.identifier,
+		Estimator:  n.estimator,
+		Tuner:      &tuner.Tuner{},
+		Correlator: n.correlator,
+		Quarantine: n.quarantine,
+		Noticer:    n.noticer,
+		Log:        n.Log,
+		Metrics:    n.metrics,
+		Region:     s.Region,
+		Homes:      n.homes,
+		OnBroken:   n.checkCrash,
+		OnNewServer: func(id string) {
+			n.warmer.SetServer(id)
+			n.requestProbe()
+		},
+		OnUnreachable: func() { n.warmer.Doubt("unreachable") },
+		IsCold:        n.warmer.IsLimited,
+		MarkCold:      n.warmer.Mark,
+		Downstream:    func(route string) throttler.Overload { return n.proxier.Downstream(route) },
+		IsEvacuated:   func() bool { return n.isEvacuated(s.DataCentre) },
 	}
 	n.invoker.SetSlots(defaultSlots)
 	n.traffic = newTrafficCounter(n.metrics, n.scopeOf)
@@ -324,7 +345,15 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated, HomeReserve: homeReserve}
+	n.picker = &picker.Picker{
+		DataCentre:  s.DataCentre,
+		Region:      s.Region,
+		Silence:     n.linker.Silence,
+		IsLeaving:   n.notices.IsLeaving,
+		IsEvacuated: n.isEvacuated,
+		HomeReserve: homeReserve,
+		ColdRate:    n.coldRate,
+	}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
@@ -415,13 +444,17 @@
 func (n *Node) localLoad() estimator.Load {
 	load := n.invoker.Load()
 	_, notice := n.noticer.Current()
+	limited, maxRate := notice.Limited, notice.Rate
+	if rate, cold := n.warmer.Rate(); cold && (!limited || rate < maxRate) {
+		limited, maxRate = true, rate
+	}
 	return estimator.Load{
 		Running:         int(load.Running),
 		Waiting:         int(load.Waiting),
 		Slots:           int(load.Slots),
 		MeanServiceTime: time.Duration(load.ServiceMs * float64(time.Millisecond)),
-		MaxRate:         notice.Rate,
-		RateLimited:     notice.Limited,
+		MaxRate:         maxRate,
+		RateLimited:     limited,
 	}
 }
 
@@ -454,6 +487,29 @@
 	return regions, r.Tables.Version
 }
 
+// coldRate returns the rate of requests that a server tolerates while it is cold, as it
+// is taken to be until its node has said that it is warm; 0 if it is warm.
+func (n *Node) coldRate(s *lister.Server) float64 {
+	r := n.syncer.Resolver()
+	if r == nil {
+		return 0
+	}
+	pool := r.Tables.Pools[s.Pool]
+	if pool == nil || pool.ColdRate == 0 || n.notices.ColdLeft(s) == 0 {
+		return 0
+	}
+	return pool.ColdRate
+}
+
+// forgetCold drops what is known of a shortage in the pool of a server that has warmed up.
+func (n *Node) forgetCold(server string) {
+	if list := n.syncer.List(); list != nil {
+		if s, ok := list.Server(server); ok {
+			n.proxier.Throttler.ForgetCold(s.Pool)
+		}
+	}
+}
+
 // isEvacuated reports whether the operator has had a data centre evacuated.
 func (n *Node) isEvacuated(dataCentre string) bool {
 	list := n.syncer.List()
@@ -504,6 +560,12 @@
 	if s, ok, _ := n.identifier.Listed(identity.Server); ok && s.Slots > 0 {
 		n.invoker.SetSlots(s.Slots)
 	}
+	if r := n.syncer.Resolver(); r != nil {
+		if pool := r.Tables.Pools[n.localPool()]; pool != nil {
+			n.warmer.SetPool(pool.ColdStart, pool.ColdRate)
+		}
+	}
+	n.warmer.SetEvacuated(n.isEvacuated(n.Settings.DataCentre))
 	if list := n.syncer.List(); list != nil {
 		n.picker.Prune(list)
 		n.notices.Prune(list)
