Picker: selection by expected completion

In pools whose servers state how long work takes at present, the picker compares expected wait, service, travel, price of distance and cost of failures instead of the utilisation. Off unless ByCompletion is set.

--- /dev/null
+++ b/apricotd/internal/process/picker/completion.go
@@ -0,0 +1,121 @@
+package picker
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"apricotrudder.dev/apricotd/internal/cost/scorer"
+	"apricotrudder.dev/apricotd/internal/process/decayer"
+	"apricotrudder.dev/apricotd/version/lister"
+)
+
+const (
+	// slowdownTTL is how long a pool counts as one whose servers state their slowdown
+	// after the last such report.
+	slowdownTTL = 10 * time.Second
+	// travelGrowth is by how much the least measured travel time grows with each
+	// measurement, so that it follows a path that has become longer.
+	travelGrowth = 1.01
+	maxTravel    = time.Second
+)
+
+type candidate struct {
+	server *lister.Server
+	view   scorer.View
+}
+
+// statesSlowdown reports whether a server of the list has lately stated how long work
+// takes there.
+func (p *Picker) statesSlowdown(servers []*lister.Server, now time.Time) bool {
+	for _, s := range servers {
+		if r := p.records[s.ID]; r != nil && r.slowdown > 0 && now.Sub(r.reportedAt) < slowdownTTL {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Picker) chooseByCompletion(servers []*lister.Server, tried map[string]bool, rq Request, now time.Time) (*Choice, bool) {
+	p.evaluate(servers, tried, rq, now)
+	i := scorer.Draw(p.scores, rand.Float64(), rand.Float64())
+	if i < 0 {
+		return nil, false
+	}
+	choice := p.newChoice(p.candidates[i].server, rq, now)
+	choice.Prediction = Prediction{Score: p.scores[i], Age: p.candidates[i].view.Age, Candidates: len(p.scores)}
+	return choice, true
+}
+
+// evaluate sets p.candidates to the eligible servers and p.scores to their predictions.
+func (p *Picker) evaluate(servers []*lister.Server, tried map[string]bool, rq Request, now time.Time) {
+	p.candidates, p.scores = p.candidates[:0], p.scores[:0]
+	sum, weights := 0.0, 0.0
+	for _, s := range servers {
+		if s.State != lister.Ready || tried[s.ID] || !p.isEligible(s, rq, now) {
+			continue
+		}
+		p.candidates = append(p.candidates, candidate{s, p.view(s, now)})
+		utilisation, weight := p.candidates[len(p.candidates)-1].view.Utilisation()
+		sum, weights = sum+utilisation*weight, weights+weight
+	}
+	mean := 0.0
+	if weights > 0 {
+		mean = sum / weights
+	}
+	for i := range p.candidates {
+		p.scores = append(p.scores, scorer.Evaluate(&p.candidates[i].view, rq.Cost, mean))
+	}
+}
+
+// view returns what this node knows of a server.
+func (p *Picker) view(s *lister.Server, now time.Time) scorer.View {
+	r := p.records[s.ID]
+	if r == nil {
+		r = &serverRecord{}
+	}
+	slots := float64(r.slots)
+	if slots == 0 {
+		slots = float64(s.Slots)
+	}
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	if now.Before(s.ColdUntil) {
+		slots *= coldSlotFraction
+	}
+	d := p.distance(s)
+	v := scorer.View{
+		Occupied:    float64(r.load),
+		Slots:       slots,
+		SentLate:    float64(r.sentLate),
+		InFlight:    float64(r.inFlight),
+		Age:         -1,
+		Backlog:     r.backlog,
+		Ratio:       r.ratio,
+		Slowdown:    r.slowdown,
+		FailureRate: r.failureRate * decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife),
+		Distance:    d,
+		Travel:      p.travel[d],
+	}
+	if !r.reportedAt.IsZero() {
+		v.Age = now.Sub(r.reportedAt) + p.travel[d]/2
+	}
+	if r.rateUtilisation > 0 {
+		v.Occupied = max(v.Occupied, r.rateUtilisation*slots)
+	}
+	if now.Before(r.fullUntil) {
+		v.Occupied = max(v.Occupied, slots*(1+fullPenalty))
+	}
+	return v
+}
+
+// learnTravel records the part of an exchange in which the request occupied no slot. The
+// least of these is the travel time.
+func (p *Picker) learnTravel(distance int, rest time.Duration) {
+	rest = max(0, min(maxTravel, rest))
+	grown := time.Duration(float64(p.travel[distance])*travelGrowth) + time.Microsecond
+	if p.travel[distance] == 0 {
+		grown = maxTravel
+	}
+	p.travel[distance] = min(rest, grown)
+}
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -7,6 +7,10 @@
 // least utilised one is selected. Recent failures add to the utilisation, so a
 // server that fails many requests gets few until it recovers.
 //
+// If ByCompletion is set and servers of the pool state how long work takes there at
+// present, the server is instead the one at which the request is expected to be completed
+// first, travel and the price of distance included; see package scorer.
+//
 // # Usage
 //
 //	p := &picker.Picker{DataCentre: "ba-petrzalka", Region: "bratislava"}
@@ -27,6 +31,7 @@
 	"sync"
 	"time"
 
+	"apricotrudder.dev/apricotd/internal/cost/scorer"
 	"apricotrudder.dev/apricotd/internal/process/decayer"
 	"apricotrudder.dev/apricotd/version/lister"
 )
@@ -106,6 +111,12 @@
 		RateUtilisation float64
 		// RetryAfter is after what time a server without room may have some.
 		RetryAfter time.Duration
+		// Backlog, Ratio and Slowdown are as in scorer.View; 0 if unknown.
+		Backlog  time.Duration
+		Ratio    float64
+		Slowdown float64
+		// ServiceTime is how long the request occupied a slot; 0 if unknown.
+		ServiceTime time.Duration
 	}
 
 	// A Picker tracks the load and the failures of servers. Its exported fields
@@ -122,10 +133,16 @@
 		// IsEvacuated reports whether the servers of a data centre may get no
 		// requests. If nil, no data centre is evacuated.
 		IsEvacuated func(dataCentre string) bool
+		// ByCompletion selects servers by expected completion in pools whose servers
+		// state how long work takes there at present.
+		ByCompletion bool
 
-		mu      sync.Mutex
-		records map[string]*serverRecord // by server id
-		leaving map[netip.Addr]time.Time
+		mu         sync.Mutex
+		records    map[string]*serverRecord // by server id
+		leaving    map[netip.Addr]time.Time
+		travel     [distanceLevels]time.Duration // there and back; 0: unknown
+		candidates []candidate                   // reused by each choice
+		scores     []scorer.Score                // reused by each choice
 	}
 
 	// A Request holds the properties of a request on which the choice depends.
@@ -135,6 +152,8 @@
 		Rank int // priority; 0 is the most urgent
 		// Regions are the only regions whose servers may be selected; nil means any.
 		Regions []string
+		// Cost is what the expected completion depends on.
+		Cost scorer.Request
 	}
 
 	// A Choice is a server selected for one attempt.
@@ -143,6 +162,20 @@
 		picker *Picker
 		record *serverRecord
 		rank   int
+		sentAt time.Time
+		// Prediction is set if the server was selected by expected completion.
+		Prediction Prediction
+	}
+
+	// A Prediction tells why a server was selected.
+	Prediction struct {
+		scorer.Score
+		// Age is the time since the load of the server was reported; negative if it never
+		// was.
+		Age time.Duration
+		// Candidates is the number of servers that were compared; 0 if the server was not
+		// selected by expected completion.
+		Candidates int
 	}
 
 	serverRecord struct {
@@ -151,7 +184,11 @@
 		slots            int
 		rateUtilisation  float64 // in the last report
 		reportedAt       time.Time
-		failureRate      float64 // moving average of failures, 0 to 1
+		backlog          time.Duration // in the last report
+		ratio            float64       // in the last report
+		slowdown         float64       // in the last report
+		sentLate         int           // requests of this node since the last report
+		failureRate      float64       // moving average of failures, 0 to 1
 		failureUpdatedAt time.Time
 		avoidUntil       time.Time
 		fullUntil        time.Time
@@ -165,6 +202,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	if p.ByCompletion && p.statesSlowdown(servers, now) {
+		return p.chooseByCompletion(servers, tried, rq, now)
+	}
 	var best [distanceLevels]*lister.Server
 	var lowest [distanceLevels]float64
 	for d := range lowest {
@@ -183,9 +223,14 @@
 	if s == nil {
 		return nil, false
 	}
+	return p.newChoice(s, rq, now), true
+}
+
+func (p *Picker) newChoice(s *lister.Server, rq Request, now time.Time) *Choice {
 	r := p.recordFor(s.ID)
 	r.inFlight++
-	return &Choice{Server: s, picker: p, record: r, rank: rq.Rank}, true
+	r.sentLate++
+	return &Choice{Server: s, picker: p, record: r, rank: rq.Rank, sentAt: now}
 }
 
 // Describe returns why Choose would select none of the servers: how many there are
@@ -268,6 +313,11 @@
 	if r.Slots > 0 {
 		rec.load, rec.slots, rec.reportedAt = r.Running+r.Waiting, r.Slots, now
 		rec.rateUtilisation = r.RateUtilisation
+		rec.backlog, rec.ratio, rec.slowdown = r.Backlog, r.Ratio, r.Slowdown
+		rec.sentLate = 0
+	}
+	if r.ServiceTime > 0 {
+		p.learnTravel(p.distance(ch.Server), now.Sub(ch.sentAt)-r.ServiceTime)
 	}
 	switch r.Result {
 	case Served:
--- /dev/null
+++ b/apricotd/internal/process/picker/uneven_test.go
@@ -0,0 +1,366 @@
+package picker
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"apricotrudder.dev/apricotd/internal/cost/gauger"
+	"apricotrudder.dev/apricotd/internal/cost/scorer"
+	"apricotrudder.dev/apricotd/version/lister"
+)
+
+// Policies of the model.
+const (
+	byUtilisation = "utilisation"
+	byCompletion  = "completion"
+	optimum       = "optimum" // exact knowledge of all servers and service times
+)
+
+type (
+	// A pool is a model of the servers of one pool and of the nodes that send to it, in
+	// virtual time.
+	pool struct {
+		policy  string
+		load    func(at time.Duration) float64 // relative to the capacity
+		fault   func(s *modelServer, at time.Duration)
+		rng     *rand.Rand
+		list    []*lister.Server
+		servers []*modelServer
+		pickers []*Picker
+		events  eventQueue
+		now     time.Duration
+		result  poolResult
+	}
+
+	modelServer struct {
+		id        int
+		speed     float64
+		neighbour bool // a neighbour slows the machine
+		stated    func(percent float64) string
+		factor    float64 // service time relative to the usual one, by a fault
+		running   int
+		queue     []*modelRequest
+		ends      []time.Duration // of the running requests, for the optimum
+		gauger    *gauger.Gauger
+		work      time.Duration // done in all
+	}
+
+	modelRequest struct {
+		kind      int
+		sentAt    time.Duration
+		service   time.Duration // at usual speed 1
+		choice    *Choice
+		work      *gauger.Work
+		server    *modelServer
+		travel    time.Duration
+		picker    *Picker
+		startedAt time.Duration
+	}
+
+	modelKind struct {
+		share, spread                   float64
+		mean, target, deadline, maxWait time.Duration
+	}
+
+	event struct {
+		at time.Duration
+		do func()
+	}
+
+	eventQueue []event
+
+	poolResult struct {
+		sent, good               int
+		perSecond                map[int][2]int // sent and in time
+		latencies                []time.Duration
+		ages                     []time.Duration
+		otherCentre, otherRegion int
+	}
+)
+
+const (
+	modelSlots  = 34
+	modelTime   = 8 * time.Second
+	modelWarmUp = 2 * time.Second
+	// A neighbour is busy 15 % of the time, for 600 ms each time.
+	neighbourTime     = 600 * time.Millisecond
+	neighbourFraction = 0.15
+	neighbourSlowdown = 2.5
+)
+
+var (
+	modelSpeeds  = []float64{0.5, 1, 1, 1.5}
+	modelCentres = []string{"a1", "b1", "a2", "b2"}
+	modelTravel  = [distanceLevels]time.Duration{0, 2 * time.Millisecond, 24 * time.Millisecond}
+	modelKinds   = []modelKind{
+		{share: 0.9, spread: 0.5, mean: 55 * time.Millisecond, target: 300 * time.Millisecond, deadline: 700 * time.Millisecond, maxWait: 350 * time.Millisecond},
+		{share: 0.1, spread: 0.8, mean: 500 * time.Millisecond, target: 2 * time.Second, deadline: 5 * time.Second, maxWait: 250 * time.Millisecond},
+	}
+)
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// runPool plays a pool of 16 servers with 32 nodes.
+func runPool(t *testing.T, policy string, seed uint64, load func(time.Duration) float64, fault func(*modelServer, time.Duration)) *pool {
+	p := &pool{policy: policy, load: load, fault: fault, rng: rand.New(rand.NewPCG(seed, 1))}
+	p.result.perSecond = make(map[int][2]int)
+	synctest.Test(t, func(t *testing.T) {
+		capacity := 0.0
+		for i := range 16 {
+			centre := modelCentres[i%len(modelCentres)]
+			p.list = append(p.list, &lister.Server{ID: fmt.Sprint(i), DataCentre: centre, Region: centre[:1], Slots: modelSlots})
+			s := &modelServer{id: i, speed: modelSpeeds[i/len(modelCentres)%len(modelSpeeds)], factor: 1, gauger: &gauger.Gauger{}}
+			s.stated = func(percent float64) string { return fmt.Sprintf("1,0,%d,%.0f", modelSlots, percent) }
+			p.servers = append(p.servers, s)
+			capacity += modelSlots * s.speed / (1 + neighbourFraction*(neighbourSlowdown-1))
+			p.at(0, func() { p.switchNeighbour(s) })
+		}
+		for i := range 32 {
+			centre := modelCentres[i%len(modelCentres)]
+			p.pickers = append(p.pickers, &Picker{DataCentre: centre, Region: centre[:1], ByCompletion: policy == byCompletion})
+		}
+		work := 0.0
+		for _, k := range modelKinds {
+			work += k.share * k.mean.Seconds()
+		}
+		p.arrive(capacity / work)
+		for len(p.events) > 0 {
+			e := heap.Pop(&p.events).(event)
+			time.Sleep(e.at - p.now)
+			p.now = e.at
+			e.do()
+		}
+	})
+	return p
+}
+
+func (p *pool) at(at time.Duration, do func()) { heap.Push(&p.events, event{at, do}) }
+
+func (p *pool) arrive(rate float64) {
+	if p.now >= modelTime {
+		return
+	}
+	for _, s := range p.servers {
+		if p.fault != nil {
+			p.fault(s, p.now)
+		}
+	}
+	p.send()
+	gap := p.rng.ExpFloat64() / (rate * p.load(p.now))
+	p.at(p.now+time.Duration(gap*float64(time.Second)), func() { p.arrive(rate) })
+}
+
+func (p *pool) send() {
+	r := &modelRequest{sentAt: p.now, picker: p.pickers[p.rng.IntN(len(p.pickers))]}
+	if p.rng.Float64() >= modelKinds[0].share {
+		r.kind = 1
+	}
+	k := &modelKinds[r.kind]
+	sigma := math.Sqrt(math.Log(1 + k.spread*k.spread))
+	r.service = time.Duration(float64(k.mean) * math.Exp(sigma*p.rng.NormFloat64()-sigma*sigma/2))
+	if p.policy == optimum {
+		r.server = p.servers[p.exactBest(r)]
+		r.travel = modelTravel[r.picker.distance(p.list[r.server.id])]
+	} else {
+		var ok bool
+		if r.choice, ok = r.picker.Choose(p.list, nil, Request{Call: true, Cost: scorer.Request{Expected: k.mean, Target: k.target, MaxWait: k.maxWait}}); !ok {
+			p.finish(r, false)
+			return
+		}
+		if r.choice.Prediction.Candidates > 0 && r.choice.Prediction.Age >= 0 {
+			p.result.ages = append(p.result.ages, r.choice.Prediction.Age)
+		}
+		for i, s := range p.list {
+			if s == r.choice.Server {
+				r.server = p.servers[i]
+			}
+		}
+		r.travel = modelTravel[r.picker.distance(r.choice.Server)]
+	}
+	p.at(p.now+r.travel/2, func() { p.enter(r) })
+}
+
+// exactBest returns the server that completes the request first.
+func (p *pool) exactBest(r *modelRequest) int {
+	best, earliest := 0, time.Duration(math.MaxInt64)
+	for i, s := range p.servers {
+		start := p.now
+		if s.running >= modelSlots {
+			ends := slices.Sorted(slices.Values(s.ends))
+			for _, q := range s.queue {
+				ends[0] += s.duration(q.service)
+				slices.Sort(ends)
+			}
+			start = ends[0]
+		}
+		end := start + s.duration(r.service) + modelTravel[r.picker.distance(p.list[i])]
+		if end < earliest {
+			best, earliest = i, end
+		}
+	}
+	return best
+}
+
+func (s *modelServer) slowdown() float64 {
+	if s.neighbour {
+		return neighbourSlowdown
+	}
+	return 1
+}
+
+func (s *modelServer) duration(service time.Duration) time.Duration {
+	return time.Duration(float64(service) / s.speed * s.slowdown() * s.factor)
+}
+
+func (p *pool) switchNeighbour(s *modelServer) {
+	if p.now >= modelTime {
+		return
+	}
+	s.neighbour = p.rng.Float64() < neighbourFraction
+	p.at(p.now+neighbourTime/2+time.Duration(p.rng.Float64()*float64(neighbourTime)), func() { p.switchNeighbour(s) })
+}
+
+func (p *pool) enter(r *modelRequest) {
+	r.work = r.server.gauger.Add(modelKinds[r.kind].mean)
+	if r.server.running < modelSlots {
+		p.start(r)
+		return
+	}
+	r.server.queue = append(r.server.queue, r)
+	p.at(p.now+modelKinds[r.kind].maxWait, func() {
+		if i := slices.Index(r.server.queue, r); i >= 0 {
+			r.server.queue = slices.Delete(r.server.queue, i, i+1)
+			r.work.End(false)
+			p.at(p.now+r.travel/2, func() { p.finish(r, false) })
+		}
+	})
+}
+
+func (p *pool) start(r *modelRequest) {
+	s := r.server
+	s.running++
+	r.work.Start()
+	r.startedAt = p.now
+	took := s.duration(r.service)
+	end := p.now + took
+	s.ends = append(s.ends, end)
+	s.work += r.service
+	p.at(end, func() {
+		s.running--
+		s.ends = slices.Delete(s.ends, slices.Index(s.ends, end), slices.Index(s.ends, end)+1)
+		r.work.End(true)
+		s.gauger.Observe("i", s.stated(100*s.slowdown()), time.Now())
+		if len(s.queue) > 0 {
+			next := s.queue[0]
+			s.queue = s.queue[1:]
+			p.start(next)
+		}
+		reading := s.gauger.Read()
+		report := Report{Result: Served, Running: s.running, Waiting: len(s.queue), Slots: modelSlots, ServiceTime: took, Backlog: reading.Backlog, Ratio: reading.Ratio, Slowdown: reading.Slowdown}
+		p.at(p.now+r.travel/2, func() {
+			if r.choice != nil {
+				r.choice.Done(report)
+			}
+			p.finish(r, true)
+		})
+	})
+}
+
+func (p *pool) finish(r *modelRequest, answered bool) {
+	if !answered && r.choice != nil {
+		r.choice.Done(Report{Result: Full, Running: r.server.running, Waiting: len(r.server.queue), Slots: modelSlots})
+	}
+	if r.sentAt < modelWarmUp {
+		return
+	}
+	took := p.now - r.sentAt
+	second := p.result.perSecond[int(r.sentAt/time.Second)]
+	p.result.sent++
+	second[0]++
+	if answered && took <= modelKinds[r.kind].target {
+		p.result.good++
+		second[1]++
+	}
+	p.result.perSecond[int(r.sentAt/time.Second)] = second
+	if answered && r.kind == 0 {
+		p.result.latencies = append(p.result.latencies, took)
+	}
+	if r.server != nil {
+		switch r.picker.distance(p.list[r.server.id]) {
+		case 1:
+			p.result.otherCentre++
+		case 2:
+			p.result.otherRegion++
+		}
+	}
+}
+
+func (r *poolResult) goodput() float64 { return float64(r.good) / float64(r.sent) }
+
+func (r *poolResult) worstSecond() float64 {
+	worst := 1.0
+	for _, s := range r.perSecond {
+		worst = min(worst, float64(s[1])/float64(s[0]))
+	}
+	return worst
+}
+
+func quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	d = slices.Sorted(slices.Values(d))
+	return d[int(q*float64(len(d)-1))]
+}
+
+func (r *poolResult) String() string {
+	return fmt.Sprintf("in time %.4f, worst second %.3f, p50 %v, p99 %v, other data centre %.3f, other region %.3f, age p50 %v p90 %v",
+		r.goodput(), r.worstSecond(), quantile(r.latencies, 0.5).Round(time.Millisecond), quantile(r.latencies, 0.99).Round(time.Millisecond),
+		float64(r.otherCentre)/float64(r.sent), float64(r.otherRegion)/float64(r.sent),
+		quantile(r.ages, 0.5).Round(time.Millisecond), quantile(r.ages, 0.9).Round(time.Millisecond))
+}
+
+func runPolicies(t *testing.T, load func(time.Duration) float64, fault func(*modelServer, time.Duration)) map[string]*poolResult {
+	out := make(map[string]*poolResult)
+	for _, policy := range []string{byUtilisation, byCompletion, optimum} {
+		out[policy] = &runPool(t, policy, 7, load, fault).result
+		t.Logf("%-12s %v", policy, out[policy])
+	}
+	return out
+}
+
+func steady(load float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return load }
+}
+
+// Load: a pool whose servers differ in speed by a factor of three and are slowed by
+// neighbours for 600 ms at a time, at 0.6 of its capacity.
+func TestUnevenServersAt60Percent(t *testing.T) { runPolicies(t, steady(0.6), nil) }
+
+// Load: the same at 0.85 of the capacity.
+func TestUnevenServersAt85Percent(t *testing.T) { runPolicies(t, steady(0.85), nil) }
+
+// Load: the same with a burst of 1.4 times the capacity for 3 s.
+func TestUnevenServersBurst(t *testing.T) {
+	runPolicies(t, func(at time.Duration) float64 {
+		if at > 4*time.Second && at < 6*time.Second {
+			return 1.1
+		}
+		return 0.7
+	}, nil)
+}
