Nodes learn and tell expected work

The invoker keeps the gauger and tells backlog, slowdown and usual speed in its load, and the service time of each answer; the proxier learns the cost of requests from it and tells the picker. All of it only if the backend server states the fourth figure of its load; otherwise the links carry the same bytes as before. The setting balancing.byExpectedWork switches the selection off.

--- a/apricotd/internal/connection/linker/encode.go
+++ b/apricotd/internal/connection/linker/encode.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	resultRest, err := proto.Marshal(&linkwire.Result{Load: result.Load})
+	resultRest, err := proto.Marshal(&linkwire.Result{Load: result.Load, ServiceMs: result.ServiceMs})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/apricotd/internal/request/invoker/identity_test.go
+++ b/apricotd/internal/request/invoker/identity_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
+	"apricotrudder.dev/apricotd/internal/cost/gauger"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
@@ -176,7 +177,7 @@
 		Names: names, Exchanger: e, Admitter: &admitter.Admitter{}, Identifier: id,
 		Estimator: &estimator.Estimator{Load: func() estimator.Load { return estimator.Load{} }},
 		Tuner:     &tuner.Tuner{}, Correlator: &correlator.Correlator{}, Quarantine: &quarantiner.Quarantiner{},
-		Noticer: &noticer.Noticer{Names: names, Log: log}, Log: log, Metrics: metrics.NewSet(), OnBroken: func() {}, OnNewServer: func() {},
+		Noticer: &noticer.Noticer{Names: names, Log: log}, Gauger: &gauger.Gauger{}, Log: log, Metrics: metrics.NewSet(), OnBroken: func() {}, OnNewServer: func() {},
 		Downstream: func(string) throttler.Overload { return throttler.Overload{} },
 	}
 	i.SetSlots(4)
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -35,6 +35,7 @@
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/apricotd/internal/cost/gauger"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
@@ -100,6 +101,7 @@
 	Correlator *correlator.Correlator
 	Quarantine *quarantiner.Quarantiner
 	Noticer    *noticer.Noticer
+	Gauger     *gauger.Gauger
 	Log        logrus.FieldLogger
 	Metrics    *metrics.Set
 	// OnBroken is called when the server has closed a connection without
@@ -165,6 +167,7 @@
 func (i *Invoker) Load() *linkwire.Load {
 	running, _ := i.Admitter.Load()
 	identity, _ := i.Identifier.Identify()
+	reading := i.Gauger.Read()
 	return &linkwire.Load{
 		Running:   uint32(running),
 		Waiting:   uint32(i.waiting.Load()),
@@ -174,6 +177,10 @@
 
 		Notice:          i.Noticer.Message(),
 		RateUtilisation: i.Admitter.RateUtilisation(),
+
+		BacklogMs:    milliseconds(reading.Backlog),
+		Slowdown:     reading.Slowdown,
+		ServiceRatio: reading.Ratio,
 	}
 }
 
@@ -211,6 +218,7 @@
 	if i.Quarantine.HasSuspects() && i.Quarantine.IsQuarantined(fingerprint(run)) {
 		return refusalResult(Quarantined, "backend servers crashed that ran it", QuarantineRetryAfter)
 	}
+	work := i.Gauger.Add(converter.Seconds(run.ExpectedMs / 1000))
 	i.waiting.Add(1)
 	release, err := i.Admitter.Enter(ctx, admitter.Request{
 		Class:        classOf(run),
@@ -222,6 +230,7 @@
 	})
 	i.waiting.Add(-1)
 	if err != nil {
+		work.End(false)
 		result := shedResult(err)
 		if result.GetRefusal().Reason == Overloaded {
 			i.Estimator.RecordRefused()
@@ -231,7 +240,11 @@
 	i.Estimator.RecordAdmitted(run.Held)
 	i.recordRepeat(run.Repeat)
 	answered := false
-	defer func() { release(answered) }()
+	defer func() {
+		work.End(answered)
+		release(answered)
+	}()
+	work.Start()
 	start := time.Now()
 	running, _ := i.Admitter.Load()
 	defer i.Correlator.Begin(run.Route)()
@@ -239,6 +252,9 @@
 	answered = result.GetAnswer() != nil
 	if answered {
 		took := time.Since(start)
+		if i.Gauger.Read().Slowdown > 0 {
+			result.ServiceMs = milliseconds(took)
+		}
 		i.recordServiceTime(took)
 		i.Tuner.Observe(run.Route, running, took)
 		i.updateLimit()
@@ -394,6 +410,7 @@
 		return markArrived(refusalResult(Shed, "another backend server has the address", unreachableRetryAfter)), idChanged
 	}
 	i.Noticer.Observe(identity.Server, response.Fields, sentAt, response.ReceivedAt)
+	i.Gauger.Observe(identity.Server, response.Fields.Get(i.Names.Load), response.ReceivedAt)
 	hasReceipt, statesNotRun := response.Fields.Get(i.Names.Receipt) != "", response.Fields.Get(i.Names.NotRun) != ""
 	if hasReceipt && !statesNotRun {
 		i.Identifier.Confirm(identity, sentAt)
@@ -436,6 +453,8 @@
 	i.meanServiceTime.Store(old + int64(serviceTimeSmoothing*float64(int64(took)-old)))
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func fingerprint(run *linkwire.Run) uint64 {
 	return quarantiner.Fingerprint(run.Method, string(run.Host), string(run.Target), run.Body)
 }
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -19,12 +19,13 @@
 // run tries servers until one of them answers or no further attempt is allowed.
 func (p *Proxier) run(ctx context.Context, rq *request) outcome {
 	tried := make(map[string]bool)
+	rq.cost, _ = p.Appraiser.Estimate(rq.properties())
 	var last outcome = refused{reason: invoker.Expired, detail: "the deadline passed before a server was asked"}
 	for rq.tries < maxTries {
 		if !time.Now().Before(rq.deadline) {
 			return last
 		}
-		servers, wanted := p.List().Pool(rq.pool), picker.Request{Call: rq.isCall, Rank: rq.rank}
+		servers, wanted := p.List().Pool(rq.pool), picker.Request{Call: rq.isCall, Rank: rq.rank, Cost: rq.costRequest()}
 		choice, ok := p.Picker.Choose(servers, tried, wanted)
 		if !ok && rq.tries == 0 {
 			return refused{
@@ -80,6 +81,7 @@
 func (p *Proxier) attempt(ctx context.Context, rq *request, c *picker.Choice) outcome {
 	rq.tries++
 	rq.lastServer = c.Server.ID
+	rq.prediction, rq.serviceTime = c.Prediction, 0
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline.Add(resultGrace))
 	defer cancel()
 	var result *linkwire.Result
@@ -87,6 +89,9 @@
 	address := c.Server.Address.Addr()
 	run := p.runMessage(rq)
 	run.Notice = p.Notices.Notice(address)
+	if c.Prediction.Candidates > 0 {
+		run.ExpectedMs = float64(rq.cost.Mean) / float64(time.Millisecond)
+	}
 	if address == p.Self {
 		result = p.Local.Run(ctx, run)
 	} else {
@@ -97,6 +102,7 @@
 	}
 	o, report := p.parseResult(rq, result)
 	c.Done(report)
+	p.learnCost(rq, report)
 	if load := result.GetLoad(); load != nil {
 		p.Notices.Record(address, load.Notice)
 		p.Throttler.Observe(rq.route.Name, c.Server.ID, p.reportedOverload(rq.pool, load))
@@ -197,6 +203,10 @@
 		Waiting:         int(load.GetWaiting()),
 		Slots:           int(load.GetSlots()),
 		RateUtilisation: load.GetRateUtilisation(),
+		Backlog:         converter.Seconds(load.GetBacklogMs() / 1000),
+		Ratio:           load.GetServiceRatio(),
+		Slowdown:        load.GetSlowdown(),
+		ServiceTime:     converter.Seconds(result.GetServiceMs() / 1000),
 	}
 	if answer := result.GetAnswer(); answer != nil {
 		rq.arrivals++
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -154,6 +154,7 @@
 		"outcome":  result,
 		"detail":   detail,
 	}
+	p.recordPrediction(rq, fields)
 	if rq.organisation != nil {
 		fields["organisation"] = rq.organisation.Name
 	}
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -31,6 +31,7 @@
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/apricotd/internal/cost/appraiser"
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/noticer"
 	"apricotrudder.dev/apricotd/internal/process/picker"
@@ -113,6 +114,8 @@
 		// Correlator estimates which calls the own backend server makes for each
 		// route.
 		Correlator *correlator.Correlator
+		// Appraiser estimates what requests cost.
+		Appraiser *appraiser.Appraiser
 		// StateAge returns for how long the tables have been in force, and the time
 		// since the node last knew that it had all changes of the published state.
 		StateAge func() (tables, current time.Duration)
@@ -141,6 +144,9 @@
 		arrivals          int     // backend servers that it has reached, or may have reached
 		tries             int     // servers tried
 		lastServer        string
+		cost              appraiser.Estimate
+		prediction        picker.Prediction // of the last attempt
+		serviceTime       time.Duration     // of the last attempt; 0 if unknown
 	}
 )
 
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -38,6 +38,8 @@
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
+	"apricotrudder.dev/apricotd/internal/cost/appraiser"
+	"apricotrudder.dev/apricotd/internal/cost/gauger"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
@@ -157,6 +159,8 @@
 	memory        *reserver.Reserver // the account of what requests occupy
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
+	gauger        *gauger.Gauger
+	appraiser     *appraiser.Appraiser
 	notices       *noticer.Directory
 	probeRequests chan struct{} // a probe is wanted before the next interval
 	checkingCrash atomic.Bool   // a crash check of the local backend server is under way
@@ -287,6 +291,8 @@
 		OnChange: func() { n.linker.Announce(nil) },
 	}
 	n.notices = &noticer.Directory{}
+	n.gauger = &gauger.Gauger{}
+	n.appraiser = &appraiser.Appraiser{}
 	n.invoker = &invoker.Invoker{
 		Names:       n.Names,
 		Exchanger:   n.exchanger,
@@ -297,6 +303,7 @@
 		Correlator:  n.correlator,
 		Quarantine:  n.quarantine,
 		Noticer:     n.noticer,
+		Gauger:      n.gauger,
 		Log:         n.Log,
 		Metrics:     n.metrics,
 		OnBroken:    n.checkCrash,
@@ -316,7 +323,7 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated}
+	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated, ByCompletion: s.Balancing.ByExpectedWork}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
@@ -398,6 +405,7 @@
 		Quarantine:  n.quarantine,
 		Throttler:   &throttler.Throttler{},
 		Correlator:  n.correlator,
+		Appraiser:   n.appraiser,
 		StateAge:    n.syncer.StateAge,
 		Log:         n.Log,
 		Metrics:     n.metrics,
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -223,6 +223,7 @@
 		return nil, errors.New("backend server did not answer its health check")
 	}
 	n.noticer.Observe(response.Fields.Get(n.Names.Server), response.Fields, sentAt, response.ReceivedAt)
+	n.gauger.Observe(response.Fields.Get(n.Names.Server), response.Fields.Get(n.Names.Load), response.ReceivedAt)
 	if id := response.Fields.Get(n.Names.Server); id != "" {
 		n.identifier.Confirm(identifier.Identity{Server: id}, sentAt)
 	}
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -22,17 +22,18 @@
 type (
 	// Settings is the content of the settings file.
 	Settings struct {
-		VM         string  `toml:"vm"`
-		Region     string  `toml:"region"`
-		DataCentre string  `toml:"dataCentre"`
-		Pool       string  `toml:"pool"`
-		Listen     Listen  `toml:"listen"`
-		Backend    Backend `toml:"backend"`
-		Store      Store   `toml:"store"`
-		Limits     Limits  `toml:"limits"`
-		Rates      Rates   `toml:"rates"`
-		Retries    Retries `toml:"retries"`
-		Log        Log     `toml:"log"`
+		VM         string    `toml:"vm"`
+		Region     string    `toml:"region"`
+		DataCentre string    `toml:"dataCentre"`
+		Pool       string    `toml:"pool"`
+		Listen     Listen    `toml:"listen"`
+		Backend    Backend   `toml:"backend"`
+		Store      Store     `toml:"store"`
+		Limits     Limits    `toml:"limits"`
+		Rates      Rates     `toml:"rates"`
+		Retries    Retries   `toml:"retries"`
+		Balancing  Balancing `toml:"balancing"`
+		Log        Log       `toml:"log"`
 		// DataCentres gives the region of each data centre.
 		DataCentres map[string]string `toml:"dataCentres"`
 	}
@@ -96,6 +97,14 @@
 		Allowance float64 `toml:"allowance"`
 	}
 
+	// Balancing determines how backend servers are selected.
+	Balancing struct {
+		// ByExpectedWork selects the server at which a request is expected to be completed
+		// first, in pools whose servers state how long work takes there at present. The
+		// default is true.
+		ByExpectedWork bool `toml:"byExpectedWork"`
+	}
+
 	// Log sets the log level: "debug", "info", "warning" or "error".
 	Log struct {
 		Level string `toml:"level"`
@@ -114,7 +123,7 @@
 // Parse decodes and checks the content of a settings file; document names it in
 // errors.
 func Parse(document string, data []byte) (*Settings, error) {
-	s := &Settings{Log: Log{Level: "info"}, Store: Store{Heartbeat: defaultHeartbeat}, Backend: Backend{AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag}}
+	s := &Settings{Log: Log{Level: "info"}, Store: Store{Heartbeat: defaultHeartbeat}, Backend: Backend{AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag}, Balancing: Balancing{ByExpectedWork: true}}
 	if err := decoder.Decode(document, data, s); err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
--- a/apricotd/namer/namer.go
+++ b/apricotd/namer/namer.go
@@ -33,6 +33,10 @@
 	// RateLimit is the number of requests per second that the responding backend
 	// server accepts from all nodes together.
 	RateLimit string
+	// Load is the load of the responding backend server: the numbers of running and
+	// waiting requests and of slots, and how long work takes at present in per cent of the
+	// usual, separated by commas.
+	Load string
 	// Leaving shows that the responding backend server accepts no new requests.
 	Leaving string
 }
