Expected work: a full server costs more than distance; settled servers

Root nodes throttle once the servers that they use have a queue, so a request must go to servers with room elsewhere before that. The probability that a server is full is now priced above any distance. What is learned of a server during a disturbance counts less once 300 answers are known, and in full before.

--- a/apricotd/internal/cost/gauger/gauger.go
+++ b/apricotd/internal/cost/gauger/gauger.go
@@ -44,9 +44,11 @@
 	recentSmoothing = 0.1
 	recentHalfLife  = time.Second
 	// disturbance is the recent ratio, or its inverse, from which answers count for the
-	// usual ratio only by disturbedWeight, since the disturbance may pass.
+	// usual ratio only by disturbedWeight, since the disturbance may pass. The first
+	// settledAfter answers always count in full: a server may be slow after its start.
 	disturbance     = 1.7
-	disturbedWeight = 0.1
+	disturbedWeight = 0.03
+	settledAfter    = 300
 	// anchor is the weight of the ratio 1 relative to that of an answer. Senders divide
 	// service times by the ratio before they learn from them, which determines the ratios
 	// of a pool only up to a common factor; the anchor keeps their mean near 1.
@@ -270,7 +272,7 @@
 	}
 	recent := g.recentFactor(now)
 	weight := max(ratioSmoothing, 1/(1/recentSmoothing+g.ratios))
-	if recent > disturbance || recent < 1/disturbance {
+	if g.ratios > settledAfter && (recent > disturbance || recent < 1/disturbance) {
 		weight *= disturbedWeight
 	}
 	g.ratios++
--- a/apricotd/internal/cost/scorer/scorer.go
+++ b/apricotd/internal/cost/scorer/scorer.go
@@ -57,9 +57,16 @@
 	// failureCost is the cost of a certain failure, in target latencies: the attempt and
 	// the time that the repeat takes.
 	failureCost = 2
+	// fullCost is the cost of a full server, in target latencies. It exceeds the price of
+	// any distance: callers' requests are throttled once the servers that they use are
+	// full, which must not happen while others have room.
+	fullCost = 1
+	// refusalCost is the cost of a wait as long as the request may wait, in target
+	// latencies.
+	refusalCost = 0.5
 	// toleranceRatio is the difference between predictions, relative to the best one, that
 	// reduces the share of a server by a factor of e.
-	toleranceRatio = 0.12
+	toleranceRatio = 0.2
 	// exploreFraction is the part of the requests for which the predictions are ignored
 	// within the distance of the best server.
 	exploreFraction = 0.02
@@ -137,7 +144,7 @@
 	}
 	speed := v.ratio() * v.slowdown()
 	n, variance := v.occupancy(poolUtilisation)
-	excess := meanExcess(n-v.Slots+1, math.Sqrt(variance))
+	excess, full := meanExcess(n-v.Slots+1, math.Sqrt(variance))
 	interval := v.workPerRequest(expected*speed) / max(1, v.Slots)
 	s := Score{
 		Wait:     excess * interval,
@@ -146,10 +153,10 @@
 		Free:     max(0, v.Slots-n),
 		Distance: v.Distance,
 	}
-	s.Penalty = target * (distancePrice[v.Distance] + failureCost*v.FailureRate)
+	s.Penalty = target * (distancePrice[v.Distance] + failureCost*v.FailureRate + fullCost*full)
 	if rq.MaxWait > 0 {
 		refused := min(1, s.Wait/rq.MaxWait.Seconds())
-		s.Penalty += target * refused * refused
+		s.Penalty += target * refusalCost * refused * refused
 	}
 	return s
 }
@@ -230,14 +237,16 @@
 	return max(service/MaxRatio, min(service*MaxRatio, v.Backlog.Seconds()/v.Occupied))
 }
 
-// meanExcess returns the mean of the positive part of a normally distributed number.
-func meanExcess(mean, deviation float64) float64 {
+// meanExcess returns the mean of the positive part of a normally distributed number, and
+// the probability that it is positive.
+func meanExcess(mean, deviation float64) (excess, probability float64) {
 	z := mean / deviation
 	switch {
 	case z < -4:
-		return 0
+		return 0, 0
 	case z > 4:
-		return mean
+		return mean, 1
 	}
-	return mean*0.5*math.Erfc(-z/math.Sqrt2) + deviation*math.Exp(-z*z/2)/math.Sqrt(2*math.Pi)
+	probability = 0.5 * math.Erfc(-z/math.Sqrt2)
+	return mean*probability + deviation*math.Exp(-z*z/2)/math.Sqrt(2*math.Pi), probability
 }
