--- a/apricotd/mesher/loadlog.go
+++ b/apricotd/mesher/loadlog.go
@@ -31,9 +31,23 @@
 			"downstream": n.proxier.OverloadEstimates(),
 		}
 		sentBefore = sent
+		if reading := n.gauger.Read(); reading.Slowdown > 0 {
+			fields["backlogMs"], fields["slowdown"], fields["serviceRatio"] = reading.Backlog.Milliseconds(), reading.Slowdown, reading.Ratio
+			fields["costErrors"] = n.costErrors()
+		}
 		if notice.Limited {
 			fields["rateLimit"] = notice.Rate
 		}
 		n.Log.WithFields(fields).Info("load estimates")
 	})
 }
+
+// costErrors returns the mean squared errors of the expected service times by what they
+// are learned by.
+func (n *Node) costErrors() map[string]float64 {
+	out := make(map[string]float64)
+	for level, e := range n.appraiser.Errors() {
+		out[level.String()] = e
+	}
+	return out
+}
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -56,6 +56,9 @@
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`apricot_memory_held_bytes{class=%q}`, class), uint64(max(0, bytes)))
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`apricot_memory_refusals_total{class=%q}`, class), refusals)
 	})
+	for level, e := range n.appraiser.Errors() {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_cost_error{by=%q}`, level), e)
+	}
 	for organisation, share := range n.policer.Shares() {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_rate_share{organisation=%q}`, organisation), share)
 	}
@@ -97,6 +100,10 @@
 	n.metrics.NewGauge("apricot_backend_rate_limit", n.rateLimit)
 	n.metrics.NewGauge("apricot_backend_unidentified_seconds", n.unidentifiedSeconds)
 	n.metrics.NewGauge("apricot_backend_malformed_notices", func() float64 { return float64(n.noticer.Malformed()) })
+	n.metrics.NewGauge("apricot_backend_backlog_seconds", func() float64 { return n.gauger.Read().Backlog.Seconds() })
+	n.metrics.NewGauge("apricot_backend_slowdown", func() float64 { return n.gauger.Read().Slowdown })
+	n.metrics.NewGauge("apricot_backend_service_ratio", func() float64 { return n.gauger.Read().Ratio })
+	n.metrics.NewGauge("apricot_backend_invalid_loads", func() float64 { return float64(n.gauger.Invalid()) })
 	n.metrics.NewGauge("apricot_memory_limit_bytes", func() float64 { return float64(n.memory.Limit) })
 	n.metrics.NewGauge("apricot_memory_peak_bytes", func() float64 { return float64(n.memory.Peak()) })
 	n.metrics.NewGauge("apricot_internal_errors", func() float64 { return float64(catcher.Count()) })
