Setting balancing.byExpectedWork: stated, always or never

The pools of one of the new deployments have servers of different speeds that state no fourth figure; "always" selects by expected completion there too, from what is measured alone. The default stays with the pools whose servers state it.

--- a/apricotd/internal/cost/gauger/gauger.go
+++ b/apricotd/internal/cost/gauger/gauger.go
@@ -75,8 +75,13 @@
 )
 
 type (
-	// A Gauger measures one backend server. The zero value is ready to use.
+	// A Gauger measures one backend server. The zero value is ready to use. Its exported
+	// field must be set before use.
 	Gauger struct {
+		// IsAlwaysRead makes Read return what is measured also if the server does not
+		// state how long work takes.
+		IsAlwaysRead bool
+
 		mu       sync.Mutex
 		server   string
 		works    map[*Work]struct{}
@@ -146,8 +151,7 @@
 	delete(g.works, w)
 	if answered && !w.startedAt.IsZero() {
 		now := time.Now()
-		stated := (w.slowdown + g.slowdown(now)) / 2
-		g.learn(now.Sub(w.startedAt).Seconds(), w.expected, stated, now)
+		g.learn(now.Sub(w.startedAt).Seconds(), w.expected, w.slowdown, now)
 	}
 }
 
@@ -213,10 +217,14 @@
 	return r
 }
 
-// slowdown returns 0 if the server has stated nothing for a while.
+// slowdown returns the stated slowdown; if the server has stated none for a while, 1 if the
+// gauger is always read, otherwise 0.
 func (g *Gauger) slowdown(now time.Time) float64 {
 	age := now.Sub(g.statedAt)
 	if g.stated == 0 || age > maxStatedAge {
+		if g.IsAlwaysRead {
+			return 1
+		}
 		return 0
 	}
 	s := max(minSlowdown, min(maxSlowdown, g.stated/g.usual))
@@ -239,8 +247,8 @@
 	return 1 + (g.recent-1)*decayer.Factor(now.Sub(g.recentAt), recentHalfLife)
 }
 
-// learn records a service time, in seconds. stated is the mean slowdown that the server
-// stated meanwhile.
+// learn records a service time, in seconds. stated is the slowdown that the server
+// stated when the request started.
 func (g *Gauger) learn(took, expected, stated float64, now time.Time) {
 	if g.mean == 0 {
 		g.mean = took
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -291,7 +291,7 @@
 		OnChange: func() { n.linker.Announce(nil) },
 	}
 	n.notices = &noticer.Directory{}
-	n.gauger = &gauger.Gauger{}
+	n.gauger = &gauger.Gauger{IsAlwaysRead: s.Balancing.ByExpectedWork == always}
 	n.appraiser = &appraiser.Appraiser{}
 	n.invoker = &invoker.Invoker{
 		Names:       n.Names,
@@ -323,7 +323,7 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
-	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated, ByCompletion: s.Balancing.ByExpectedWork}
+	n.picker = &picker.Picker{DataCentre: s.DataCentre, Region: s.Region, Silence: n.linker.Silence, IsLeaving: n.notices.IsLeaving, IsEvacuated: n.isEvacuated, ByCompletion: s.Balancing.ByExpectedWork != never}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
 		Region:       s.Region,
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"apricotrudder.dev/apricotd/decoder"
@@ -17,6 +18,11 @@
 	defaultAddressReuse = decoder.Duration(2 * time.Second)
 	// defaultSettingsLag applies if the settings have no backend.settingsLag.
 	defaultSettingsLag = decoder.Duration(1800 * time.Millisecond)
+
+	// Values of balancing.byExpectedWork.
+	whereStated = "stated"
+	always      = "always"
+	never       = "never"
 )
 
 type (
@@ -99,10 +105,11 @@
 
 	// Balancing determines how backend servers are selected.
 	Balancing struct {
-		// ByExpectedWork selects the server at which a request is expected to be completed
-		// first, in pools whose servers state how long work takes there at present. The
-		// default is true.
-		ByExpectedWork bool `toml:"byExpectedWork"`
+		// ByExpectedWork says for which pools the server is selected at which a request is
+		// expected to be completed first: "stated", the default, for those whose servers
+		// state how long work takes there at present, "always" or "never". All nodes should
+		// have the same value.
+		ByExpectedWork string `toml:"byExpectedWork"`
 	}
 
 	// Log sets the log level: "debug", "info", "warning" or "error".
@@ -123,7 +130,7 @@
 // Parse decodes and checks the content of a settings file; document names it in
 // errors.
 func Parse(document string, data []byte) (*Settings, error) {
-	s := &Settings{Log: Log{Level: "info"}, Store: Store{Heartbeat: defaultHeartbeat}, Backend: Backend{AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag}, Balancing: Balancing{ByExpectedWork: true}}
+	s := &Settings{Log: Log{Level: "info"}, Store: Store{Heartbeat: defaultHeartbeat}, Backend: Backend{AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag}, Balancing: Balancing{ByExpectedWork: whereStated}}
 	if err := decoder.Decode(document, data, s); err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
@@ -169,6 +176,9 @@
 			addError(f.key, fmt.Sprint(f.value), "0 or more")
 		}
 	}
+	if b := s.Balancing.ByExpectedWork; b != whereStated && b != always && b != never {
+		addError("balancing.byExpectedWork", strconv.Quote(b), `"stated", "always" or "never"`)
+	}
 	for _, f := range []struct {
 		key   string
 		value decoder.Duration
