--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -58,6 +58,7 @@
 	APIKey:        "Key",
 	RateLimit:     "Limit",
 	Leaving:       "Leaving",
+	Load:          "Load",
 }
 
 type (
