--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -168,7 +168,7 @@
 	running, _ := i.Admitter.Load()
 	identity, _ := i.Identifier.Identify()
 	reading := i.Gauger.Read()
-	return &linkwire.Load{
+	load := &linkwire.Load{
 		Running:   uint32(running),
 		Waiting:   uint32(i.waiting.Load()),
 		Slots:     uint32(i.limit.Load()),
@@ -178,10 +178,14 @@
 		Notice:          i.Noticer.Message(),
 		RateUtilisation: i.Admitter.RateUtilisation(),
 
-		BacklogMs:    milliseconds(reading.Backlog),
 		Slowdown:     reading.Slowdown,
-		ServiceRatio: reading.Ratio,
+		ServiceRatio: float32(reading.Ratio),
 	}
+	// Nobody waits at a server with many free slots.
+	if 2*(load.Running+load.Waiting) >= load.Slots {
+		load.BacklogMs = milliseconds(reading.Backlog)
+	}
+	return load
 }
 
 // SentCount returns the number of requests that were sent to the server since
@@ -253,7 +257,7 @@
 	if answered {
 		took := time.Since(start)
 		if i.Gauger.Read().Slowdown > 0 {
-			result.ServiceMs = milliseconds(took)
+			result.ServiceMs = float32(milliseconds(took))
 		}
 		i.recordServiceTime(took)
 		i.Tuner.Observe(run.Route, running, took)
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -204,9 +204,9 @@
 		Slots:           int(load.GetSlots()),
 		RateUtilisation: load.GetRateUtilisation(),
 		Backlog:         converter.Seconds(load.GetBacklogMs() / 1000),
-		Ratio:           load.GetServiceRatio(),
+		Ratio:           float64(load.GetServiceRatio()),
 		Slowdown:        load.GetSlowdown(),
-		ServiceTime:     converter.Seconds(result.GetServiceMs() / 1000),
+		ServiceTime:     converter.Seconds(float64(result.GetServiceMs()) / 1000),
 	}
 	if answer := result.GetAnswer(); answer != nil {
 		rq.arrivals++
