--- a/apricotd/internal/cost/appraiser/appraiser.go
+++ b/apricotd/internal/cost/appraiser/appraiser.go
@@ -13,7 +13,7 @@
 //	e, ok := a.Estimate(rq)
 //	a.Learn(rq, took) // took divided by the relative service time of the server
 //
-// Memory is bounded: about 80 KB for the specific cells, and one cell for each of maxRoutes
+// Memory is bounded: about 115 KB for the specific cells, and one cell for each of maxRoutes
 // routes. Targets that never repeat displace only cells that are little used. An estimate
 // takes under a microsecond and allocates nothing. What was learned loses weight with
 // age.
