--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -54,6 +54,17 @@
 		// that it had all changes of the published state.
 		TablesAgeMs int64 `json:"tablesAgeMs"`
 		StateAgeMs  int64 `json:"stateAgeMs"`
+
+		// Candidates is the number of servers that were compared by expected completion
+		// for the last attempt; 0 if they were not. The others tell why it was selected.
+		Candidates         int    `json:"candidates"`
+		ExpectedMs         int64  `json:"expectedMs"`
+		ExpectedBy         string `json:"expectedBy"`
+		PredictedWaitMs    int64  `json:"predictedWaitMs"`
+		PredictedServiceMs int64  `json:"predictedServiceMs"`
+		PenaltyMs          int64  `json:"penaltyMs"`
+		LoadAgeMs          *int64 `json:"loadAgeMs"`
+		ServiceMs          int64  `json:"serviceMs"`
 	}
 )
 
@@ -172,5 +183,22 @@
 		fmt.Fprintf(&b, "\n    the node went by tables %d, in force for %v, and last knew that it had all changes %v before",
 			r.Version, age, time.Duration(r.StateAgeMs)*time.Millisecond)
 	}
+	if r.Candidates > 0 {
+		b.WriteString("\n    " + r.selection())
+	}
 	return b.String()
 }
+
+// selection says why the last server was selected by expected completion.
+func (r *requestRecord) selection() string {
+	known := "nothing was known of its load"
+	if r.LoadAgeMs != nil {
+		known = fmt.Sprintf("its load was reported %d ms before", *r.LoadAgeMs)
+	}
+	took := ""
+	if r.ServiceMs > 0 {
+		took = fmt.Sprintf("; its service took %d ms", r.ServiceMs)
+	}
+	return fmt.Sprintf("the last server was selected of %d: %d ms of wait and %d ms of service were expected there (%d ms at a server of mean speed, learned by %s), with a penalty of %d ms; %s%s",
+		r.Candidates, r.PredictedWaitMs, r.PredictedServiceMs, r.ExpectedMs, r.ExpectedBy, r.PenaltyMs, known, took)
+}
--- a/apricotctl/explain_test.go
+++ b/apricotctl/explain_test.go
@@ -15,6 +15,9 @@
 `,
 		"r10": `08:00:01.600 [1.6 vm-a] request r10 on route search (rank 2, tables 7): throttled after 0 ms; asked 0 nodes of pool search; reached 0 backend servers; pressure 0.26 on the route's tree
     this node refused it before it asked a server, because it believed that a pool which the request needs is overloaded
+`,
+		"r11": `08:00:01.700 [1.7 vm-a] request r11 on route search (rank 2, tables 7): answered after 94 ms; asked 1 nodes of pool search, i-4 last; reached 1 backend servers
+    the last server was selected of 22: 4 ms of wait and 71 ms of service were expected there (140 ms at a server of mean speed, learned by shape), with a penalty of 25 ms; its load was reported 35 ms before; its service took 90 ms
 `,
 	} {
 		f, err := os.Open("testdata/explain.log")
