--- a/apricotd/internal/cost/scorer/scorer.go
+++ b/apricotd/internal/cost/scorer/scorer.go
@@ -14,12 +14,15 @@
 //
 // # Usage
 //
+//	for _, v := range views {
+//		pool.Add(v)
+//	}
 //	for i, v := range views {
-//		scores[i] = scorer.Evaluate(v, rq, pool)
+//		scores[i] = scorer.Evaluate(v, rq, &pool)
 //	}
 //	i := scorer.Draw(scores, rand.Float64(), rand.Float64())
 //
-// All functions are pure. Neither allocates; a score takes less than a microsecond.
+// No function allocates or has side effects beyond its receiver; a score takes less than a microsecond.
 package scorer
 
 import (
@@ -108,6 +111,12 @@
 		Travel      time.Duration // there and back
 	}
 
+	// A Pool is the mean of what is known of the servers that are compared.
+	Pool struct {
+		utilisations, weights float64
+		ratios, known         float64
+	}
+
 	// A Score is the predicted completion in seconds, with its parts.
 	Score struct {
 		Wait     float64
@@ -122,18 +131,38 @@
 // Total returns the prediction by which servers are compared, in seconds.
 func (s Score) Total() float64 { return s.Wait + s.Service + s.Travel + s.Penalty }
 
-// Utilisation returns the utilisation in the last report and the weight that it has in the
-// mean of the pool.
-func (v *View) Utilisation() (utilisation, weight float64) {
+// Add adds a server to the mean. Its utilisation has the less weight the older it is.
+func (p *Pool) Add(v *View) {
 	if v.Age < 0 || v.Slots <= 0 {
-		return 0, 0
+		return
+	}
+	fresh := decayer.Factor(v.Age, OccupancyHalfLife)
+	p.utilisations += v.Occupied * fresh
+	p.weights += v.Slots * fresh
+	if v.Ratio > 0 {
+		p.ratios += clampRatio(v.Ratio)
+		p.known++
 	}
-	return v.Occupied / v.Slots, v.Slots * decayer.Factor(v.Age, OccupancyHalfLife)
 }
 
-// Evaluate predicts the completion of a request at a server. poolUtilisation is the mean
-// utilisation of the pool.
-func Evaluate(v *View, rq Request, poolUtilisation float64) Score {
+func (p *Pool) utilisation() float64 {
+	if p.weights <= 0 {
+		return 0
+	}
+	return p.utilisations / p.weights
+}
+
+func (p *Pool) ratio() float64 {
+	if p.known == 0 {
+		return 1
+	}
+	return p.ratios / p.known
+}
+
+func clampRatio(r float64) float64 { return max(1/MaxRatio, min(MaxRatio, r)) }
+
+// Evaluate predicts the completion of a request at a server of a pool.
+func Evaluate(v *View, rq Request, pool *Pool) Score {
 	expected := rq.Expected.Seconds()
 	if expected <= 0 {
 		expected = defaultExpected.Seconds()
@@ -142,8 +171,8 @@
 	if target <= 0 {
 		target = defaultTargetFactor * expected
 	}
-	speed := v.ratio() * v.slowdown()
-	n, variance := v.occupancy(poolUtilisation)
+	speed := v.ratio(pool.ratio()) * v.slowdown()
+	n, variance := v.occupancy(pool.utilisation())
 	excess, full := meanExcess(n-v.Slots+1, math.Sqrt(variance))
 	interval := v.workPerRequest(expected*speed) / max(1, v.Slots)
 	s := Score{
@@ -210,13 +239,13 @@
 	return mean, max(minVariance, mean*(1-fresh*fresh))
 }
 
-// ratio returns the usual service time relative to the mean of the pool.
-func (v *View) ratio() float64 {
+// ratio returns the usual service time relative to the expected one; mean is that of the
+// pool.
+func (v *View) ratio(mean float64) float64 {
 	if !(v.Ratio > 0) || v.Age < 0 {
-		return 1
+		return mean
 	}
-	r := max(1/MaxRatio, min(MaxRatio, v.Ratio))
-	return 1 + (r-1)*decayer.Factor(v.Age, ratioHalfLife)
+	return mean + (clampRatio(v.Ratio)-mean)*decayer.Factor(v.Age, ratioHalfLife)
 }
 
 func (v *View) slowdown() float64 {
--- a/apricotd/internal/cost/scorer/scorer_test.go
+++ b/apricotd/internal/cost/scorer/scorer_test.go
@@ -46,18 +46,13 @@
 }
 
 func (sc *scenario) scores() []Score {
-	sum, weights := 0.0, 0.0
+	pool := &Pool{}
 	for i := range sc.views {
-		u, w := sc.views[i].Utilisation()
-		sum, weights = sum+u*w, weights+w
-	}
-	mean := 0.0
-	if weights > 0 {
-		mean = sum / weights
+		pool.Add(&sc.views[i])
 	}
 	var out []Score
 	for i := range sc.views {
-		out = append(out, Evaluate(&sc.views[i], sc.request, mean))
+		out = append(out, Evaluate(&sc.views[i], sc.request, pool))
 	}
 	return out
 }
@@ -141,6 +136,6 @@
 	v := View{Occupied: 18, Slots: 20, Age: 50 * time.Millisecond, Ratio: 0.7, Slowdown: 1.2, Backlog: time.Second}
 	b.ReportAllocs()
 	for b.Loop() {
-		_ = Evaluate(&v, Request{Expected: 100 * time.Millisecond, Target: time.Second, MaxWait: 100 * time.Millisecond}, 0.8)
+		_ = Evaluate(&v, Request{Expected: 100 * time.Millisecond, Target: time.Second, MaxWait: 100 * time.Millisecond}, &Pool{})
 	}
 }
--- a/apricotd/internal/process/picker/completion.go
+++ b/apricotd/internal/process/picker/completion.go
@@ -49,21 +49,16 @@
 // evaluate sets p.candidates to the eligible servers and p.scores to their predictions.
 func (p *Picker) evaluate(servers []*lister.Server, tried map[string]bool, rq Request, now time.Time) {
 	p.candidates, p.scores = p.candidates[:0], p.scores[:0]
-	sum, weights := 0.0, 0.0
+	pool := scorer.Pool{}
 	for _, s := range servers {
 		if s.State != lister.Ready || tried[s.ID] || !p.isEligible(s, rq, now) {
 			continue
 		}
 		p.candidates = append(p.candidates, candidate{s, p.view(s, now)})
-		utilisation, weight := p.candidates[len(p.candidates)-1].view.Utilisation()
-		sum, weights = sum+utilisation*weight, weights+weight
-	}
-	mean := 0.0
-	if weights > 0 {
-		mean = sum / weights
+		pool.Add(&p.candidates[len(p.candidates)-1].view)
 	}
 	for i := range p.candidates {
-		p.scores = append(p.scores, scorer.Evaluate(&p.candidates[i].view, rq.Cost, mean))
+		p.scores = append(p.scores, scorer.Evaluate(&p.candidates[i].view, rq.Cost, &pool))
 	}
 }
 
