Scorer: pressure of busy servers, so that throttling hears of those with room

A busy server now costs from a utilisation of 0.7 on, so that all are about equally utilised at high load.

--- a/apricotd/internal/cost/scorer/scorer.go
+++ b/apricotd/internal/cost/scorer/scorer.go
@@ -60,10 +60,13 @@
 	// failureCost is the cost of a certain failure, in target latencies: the attempt and
 	// the time that the repeat takes.
 	failureCost = 2
-	// fullCost is the cost of a full server, in target latencies. It exceeds the price of
-	// any distance: callers' requests are throttled once the servers that they use are
-	// full, which must not happen while others have room.
+	// fullCost is the cost of a full server, in target latencies. It is 0 up to the
+	// utilisation busyFrom and grows with the square of what exceeds it. It exceeds the price
+	// of any distance, and grows before a server is full: callers' requests are throttled by
+	// the excess that the servers report which they use, so at high load all servers must
+	// be about equally utilised, or slow ones with room would not be heard.
 	fullCost = 1
+	busyFrom = 0.7
 	// refusalCost is the cost of a wait as long as the request may wait, in target
 	// latencies.
 	refusalCost = 0.5
@@ -173,7 +176,7 @@
 	}
 	speed := v.ratio(pool.ratio()) * v.slowdown()
 	n, variance := v.occupancy(pool.utilisation())
-	excess, full := meanExcess(n-v.Slots+1, math.Sqrt(variance))
+	excess := meanExcess(n-v.Slots+1, math.Sqrt(variance))
 	interval := v.workPerRequest(expected*speed) / max(1, v.Slots)
 	s := Score{
 		Wait:     excess * interval,
@@ -182,7 +185,7 @@
 		Free:     max(0, v.Slots-n),
 		Distance: v.Distance,
 	}
-	s.Penalty = target * (distancePrice[v.Distance] + failureCost*v.FailureRate + fullCost*full)
+	s.Penalty = target * (distancePrice[v.Distance] + failureCost*v.FailureRate + fullCost*v.pressure(n))
 	if rq.MaxWait > 0 {
 		refused := min(1, s.Wait/rq.MaxWait.Seconds())
 		s.Penalty += target * refusalCost * refused * refused
@@ -239,6 +242,12 @@
 	return mean, max(minVariance, mean*(1-fresh*fresh))
 }
 
+// pressure returns 0 for a server with a utilisation up to busyFrom and 1 for a full one.
+func (v *View) pressure(n float64) float64 {
+	p := max(0, min(1, (n/max(1, v.Slots)-busyFrom)/(1-busyFrom)))
+	return p * p
+}
+
 // ratio returns the usual service time relative to the expected one; mean is that of the
 // pool.
 func (v *View) ratio(mean float64) float64 {
@@ -266,16 +275,14 @@
 	return max(service/MaxRatio, min(service*MaxRatio, v.Backlog.Seconds()/v.Occupied))
 }
 
-// meanExcess returns the mean of the positive part of a normally distributed number, and
-// the probability that it is positive.
-func meanExcess(mean, deviation float64) (excess, probability float64) {
+// meanExcess returns the mean of the positive part of a normally distributed number.
+func meanExcess(mean, deviation float64) float64 {
 	z := mean / deviation
 	switch {
 	case z < -4:
-		return 0, 0
+		return 0
 	case z > 4:
-		return mean, 1
+		return mean
 	}
-	probability = 0.5 * math.Erfc(-z/math.Sqrt2)
-	return mean*probability + deviation*math.Exp(-z*z/2)/math.Sqrt(2*math.Pi), probability
+	return mean*0.5*math.Erfc(-z/math.Sqrt2) + deviation*math.Exp(-z*z/2)/math.Sqrt(2*math.Pi)
 }
