--- a/apricotd/internal/process/picker/describe_test.go
+++ b/apricotd/internal/process/picker/describe_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
+	"apricotrudder.dev/apricotd/internal/cost/scorer"
 	"apricotrudder.dev/apricotd/version/lister"
 )
 
@@ -30,3 +32,23 @@
 		t.Errorf("describe an empty pool: got %q", got)
 	}
 }
+
+// Guards against an explanation that selects a server, or leaves out why one can't be.
+func TestExplain(t *testing.T) {
+	p := &Picker{DataCentre: "n1", Region: "n", ByCompletion: true}
+	list := servers("n1", "n2", "s1")
+	list[1].State = lister.Leaving
+	choice, _ := p.Choose(list[:1], nil, Request{})
+	choice.Done(Report{Result: Served, Running: 2, Slots: 10, Ratio: 0.5, Slowdown: 1})
+	rq := Request{Cost: scorer.Request{Expected: 100 * time.Millisecond, Target: time.Second}}
+	got, byCompletion := p.Explain(list, nil, rq)
+	if !byCompletion || len(got) != 3 || got[0].Reason != "" || got[1].Reason != "leaving" || got[2].Reason != "" {
+		t.Fatalf("explain: got %+v %v, want three servers, one leaving, by completion", got, byCompletion)
+	}
+	if near, far := got[0].Score.Total(), got[2].Score.Total(); near < 0.04 || near > 0.06 || far < near+0.4 || got[2].Age >= 0 {
+		t.Errorf("scores: got %.3f of a server of half the mean time and %.3f of an unknown one in another region, want about 0.05 and 0.4 more", near, far)
+	}
+	if n := p.records["0"].inFlight; n != 0 {
+		t.Errorf("requests in progress after the explanation: got %d, want 0", n)
+	}
+}
