--- a/apricotd/internal/cost/gauger/gauger.go
+++ b/apricotd/internal/cost/gauger/gauger.go
@@ -31,6 +31,7 @@
 	"sync"
 	"time"
 
+	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/process/decayer"
 )
 
@@ -63,7 +64,9 @@
 	minStated, maxStated     = 1.0, 10000.0
 	maxRatio                 = 8.0
 	meanSmoothing            = 0.05
-	readInterval             = time.Millisecond
+	// maxExpected bounds what a peer may state, so that the backlog stays finite.
+	maxExpected  = time.Hour
+	readInterval = time.Millisecond
 	// The histogram of service times relative to expected ones has buckets of a factor of
 	// the square root of 2, from smallestBucket.
 	buckets        = 20
@@ -125,7 +128,7 @@
 // Add adds a request that waits for a slot. expected is its service time at a server of
 // mean speed; 0 if unknown.
 func (g *Gauger) Add(expected time.Duration) *Work {
-	w := &Work{gauger: g, expected: max(0, expected.Seconds())}
+	w := &Work{gauger: g, expected: max(0, min(maxExpected, expected).Seconds())}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.works == nil {
@@ -213,7 +216,7 @@
 			backlog += g.remaining(expected, now.Sub(w.startedAt).Seconds())
 		}
 	}
-	r.Backlog = time.Duration(backlog * r.Slowdown * float64(time.Second))
+	r.Backlog = converter.Seconds(backlog * r.Slowdown)
 	return r
 }
 
