--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -35,6 +35,7 @@
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
+	"apricotrudder.dev/apricotd/internal/cost/gauger"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
@@ -105,6 +106,7 @@
 	Correlator *correlator.Correlator
 	Quarantine *quarantiner.Quarantiner
 	Noticer    *noticer.Noticer
+	Gauger     *gauger.Gauger
 	Log        logrus.FieldLogger
 	Metrics    *metrics.Set
 	// Region is that of this node.
@@ -186,7 +188,8 @@
 func (i *Invoker) Load() *linkwire.Load {
 	running, _ := i.Admitter.Load()
 	identity, _ := i.Identifier.Identify()
-	return &linkwire.Load{
+	reading := i.Gauger.Read()
+	load := &linkwire.Load{
 		Running:   uint32(running),
 		Waiting:   uint32(i.waiting.Load()),
 		Slots:     uint32(i.limit.Load()),
@@ -195,7 +198,15 @@
 
 		Notice:          i.MarkCold(i.Noticer.Message()),
 		RateUtilisation: i.Admitter.RateUtilisation(),
+
+		Slowdown:     reading.Slowdown,
+		ServiceRatio: float32(reading.Ratio),
+	}
+	// Nobody waits at a server with many free slots.
+	if 2*(load.Running+load.Waiting) >= load.Slots {
+		load.BacklogMs = milliseconds(reading.Backlog)
 	}
+	return load
 }
 
 // SentCount returns the number of requests that were sent to the server since
@@ -232,6 +243,7 @@
 	if i.Quarantine.HasSuspects() && i.Quarantine.IsQuarantined(fingerprint(run)) {
 		return refusalResult(Quarantined, "backend servers crashed that ran it", QuarantineRetryAfter)
 	}
+	work := i.Gauger.Add(converter.Seconds(run.ExpectedMs / 1000))
 	i.waiting.Add(1)
 	release, err := i.Admitter.Enter(ctx, admitter.Request{
 		Class:        classOf(run),
@@ -243,6 +255,7 @@
 	})
 	i.waiting.Add(-1)
 	if err != nil {
+		work.End(false)
 		result := shedResult(err)
 		if result.GetRefusal().Reason == Overloaded {
 			i.Estimator.RecordRefused()
@@ -256,7 +269,11 @@
 	i.Estimator.RecordAdmitted(run.Held)
 	i.recordRepeat(run.Repeat)
 	answered := false
-	defer func() { release(answered) }()
+	defer func() {
+		work.End(answered)
+		release(answered)
+	}()
+	work.Start()
 	start := time.Now()
 	running, _ := i.Admitter.Load()
 	defer i.Correlator.Begin(run.Route)()
@@ -264,6 +281,9 @@
 	answered = result.GetAnswer() != nil
 	if answered {
 		took := time.Since(start)
+		if i.Gauger.Read().Slowdown > 0 {
+			result.ServiceMs = float32(milliseconds(took))
+		}
 		i.recordServiceTime(took)
 		i.Tuner.Observe(run.Route, running, took)
 		i.updateLimit()
@@ -427,6 +447,7 @@
 		return markArrived(refusalResult(Shed, "another backend server has the address", unreachableRetryAfter)), idChanged
 	}
 	i.Noticer.Observe(identity.Server, response.Fields, sentAt, response.ReceivedAt)
+	i.Gauger.Observe(identity.Server, response.Fields.Get(i.Names.Load), response.ReceivedAt)
 	hasReceipt, statesNotRun := response.Fields.Get(i.Names.Receipt) != "", response.Fields.Get(i.Names.NotRun) != ""
 	if hasReceipt && !statesNotRun {
 		i.Identifier.Confirm(identity, sentAt)
@@ -469,6 +490,8 @@
 	i.meanServiceTime.Store(old + int64(serviceTimeSmoothing*float64(int64(took)-old)))
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func fingerprint(run *linkwire.Run) uint64 {
 	return quarantiner.Fingerprint(run.Method, string(run.Host), string(run.Target), run.Body)
 }
--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -61,6 +61,7 @@
 	RateLimit:     "Limit",
 	Leaving:       "Leaving",
 	ColdLeft:      "Cold",
+	Load:          "Load",
 }
 
 type (
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -38,6 +38,8 @@
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
 	"apricotrudder.dev/apricotd/internal/connection/exchanger"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
+	"apricotrudder.dev/apricotd/internal/cost/appraiser"
+	"apricotrudder.dev/apricotd/internal/cost/gauger"
 	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
@@ -164,6 +166,8 @@
 	memory        *reserver.Reserver // the account of what requests occupy
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
+	gauger        *gauger.Gauger
+	appraiser     *appraiser.Appraiser
 	notices       *noticer.Directory
 	warmer        *warmer.Warmer
 	probeRequests chan struct{} // a probe is wanted before the next interval
@@ -307,6 +311,8 @@
 		OnChange: func() { n.linker.Announce(nil) },
 	}
 	n.notices = &noticer.Directory{OnWarm: n.forgetCold}
+	n.gauger = &gauger.Gauger{IsAlwaysRead: s.Balancing.ByExpectedWork == always}
+	n.appraiser = &appraiser.Appraiser{}
 	n.invoker = &invoker.Invoker{
 		Names:      n.Names,
 		Exchanger:  n.exchanger,
@@ -317,6 +323,7 @@
 		Correlator: n.correlator,
 		Quarantine: n.quarantine,
 		Noticer:    n.noticer,
+		Gauger:     n.gauger,
 		Log:        n.Log,
 		Metrics:    n.metrics,
 		Region:     s.Region,
@@ -353,6 +360,8 @@
 		IsEvacuated: n.isEvacuated,
 		HomeReserve: homeReserve,
 		ColdRate:    n.coldRate,
+
+		ByCompletion: s.Balancing.ByExpectedWork != never,
 	}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
@@ -435,6 +444,7 @@
 		Quarantine:  n.quarantine,
 		Throttler:   &throttler.Throttler{},
 		Correlator:  n.correlator,
+		Appraiser:   n.appraiser,
 		StateAge:    n.syncer.StateAge,
 		Log:         n.Log,
 		Metrics:     n.metrics,
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -62,6 +62,9 @@
 	for _, e := range n.evacuations() {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`apricot_evacuated{dataCentre=%q}`, e.DataCentre), 1)
 	}
+	for level, e := range n.appraiser.Errors() {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_cost_error{by=%q}`, level), e)
+	}
 	for organisation, share := range n.policer.Shares() {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_rate_share{organisation=%q}`, organisation), share)
 	}
@@ -104,6 +107,10 @@
 	n.metrics.NewGauge("apricot_backend_cold_seconds", func() float64 { return n.warmer.Left().Seconds() })
 	n.metrics.NewGauge("apricot_backend_unidentified_seconds", n.unidentifiedSeconds)
 	n.metrics.NewGauge("apricot_backend_malformed_notices", func() float64 { return float64(n.noticer.Malformed()) })
+	n.metrics.NewGauge("apricot_backend_backlog_seconds", func() float64 { return n.gauger.Read().Backlog.Seconds() })
+	n.metrics.NewGauge("apricot_backend_slowdown", func() float64 { return n.gauger.Read().Slowdown })
+	n.metrics.NewGauge("apricot_backend_service_ratio", func() float64 { return n.gauger.Read().Ratio })
+	n.metrics.NewGauge("apricot_backend_invalid_loads", func() float64 { return float64(n.gauger.Invalid()) })
 	n.metrics.NewGauge("apricot_memory_limit_bytes", func() float64 { return float64(n.memory.Limit) })
 	n.metrics.NewGauge("apricot_memory_peak_bytes", func() float64 { return float64(n.memory.Peak()) })
 	n.metrics.NewGauge("apricot_internal_errors", func() float64 { return float64(catcher.Count()) })
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -236,6 +236,7 @@
 		n.warmer.Observe(probe, response.Fields.Get(n.Names.Server), warmer.ParseStatement(response.Fields.Get(n.Names.ColdLeft)))
 	}
 	n.noticer.Observe(response.Fields.Get(n.Names.Server), response.Fields, sentAt, response.ReceivedAt)
+	n.gauger.Observe(response.Fields.Get(n.Names.Server), response.Fields.Get(n.Names.Load), response.ReceivedAt)
 	if id := response.Fields.Get(n.Names.Server); id != "" {
 		n.identifier.Confirm(identifier.Identity{Server: id}, sentAt)
 	}
