A doubt about a warm server is cleared up at once

Cause, by reading: a failed connection puts the state in doubt, and the next health check came up to 200 ms later; until then a server with 1,150 requests a second would have got 20. The doubt asks for a health check at once; the first test of it failed before.

--- a/apricotd/mesher/internal/warmer/warmer.go
+++ b/apricotd/mesher/internal/warmer/warmer.go
@@ -104,8 +104,9 @@
 		// no lock held and may be nil.
 		OnChange func()
 		Announce func()
-		// WantProbe is called, with the lock held, when so many requests have been taken
-		// that a health check is due. It must not block or call the Warmer, and may be nil.
+		// WantProbe is called, with the lock held, when a health check is due because so
+		// many requests have been taken, or because the state has been put in doubt. It
+		// must not block or call the Warmer, and may be nil.
 		WantProbe func()
 
 		mu          sync.Mutex
@@ -124,6 +125,7 @@
 		refilledAt  time.Time
 		taken       uint64 // requests and probes
 		probedAt    time.Time
+		inDoubt     bool   // no probe has begun since the state was put in doubt
 		probeTaken  uint64 // value of taken at the last probe
 		marked      bool   // a peer has been told that the server is cold
 		announcedAt time.Time
@@ -186,8 +188,13 @@
 
 func (w *Warmer) doubt(reason string, now time.Time) {
 	w.doubtedAt = now
-	if w.state != Unknown {
-		w.state, w.evidence = Unknown, reason
+	if w.state == Unknown {
+		return
+	}
+	w.state, w.evidence = Unknown, reason
+	w.inDoubt = true
+	if w.coldRate > 0 && w.WantProbe != nil {
+		w.WantProbe()
 	}
 }
 
@@ -208,7 +215,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	w.take(now)
-	w.probedAt, w.probeTaken = now, w.taken
+	w.probedAt, w.probeTaken, w.inDoubt = now, w.taken, false
 	return Probe{sentAt: now, taken: w.taken}
 }
 
@@ -404,6 +411,9 @@
 		}
 	default:
 		gap = unknownProbeGap
+		if w.inDoubt {
+			gap = 0
+		}
 	}
 	return max(0, gap-since), true
 }
--- a/apricotd/mesher/internal/warmer/warmer_test.go
+++ b/apricotd/mesher/internal/warmer/warmer_test.go
@@ -251,6 +251,28 @@
 	}
 }
 
+// Guards against a warm server that gets almost nothing for a probe interval because one
+// connection to it has failed, and against probing without a pause while it is down.
+func TestDoubtIsClearedUpAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &model{script: script{coldRate: 13}, id: "i"}
+		m.startNode()
+		w, wanted := m.warmer, 0
+		w.WantProbe = func() { wanted++ }
+		w.Observe(w.BeginProbe(), "i", Statement{})
+		w.Doubt("unreachable")
+		w.Doubt("unreachable")
+		if d, ok := w.UntilProbe(); !ok || d != 0 || wanted != 1 {
+			t.Errorf("after a failed connection: got a health check in %v, asked for %d times, want one at once", d, wanted)
+		}
+		w.BeginProbe()
+		w.Doubt("health check not answered")
+		if d, ok := w.UntilProbe(); !ok || d != unknownProbeGap || wanted != 1 {
+			t.Errorf("after an unanswered health check: got the next in %v, asked for %d times, want it after %v", d, wanted, unknownProbeGap)
+		}
+	})
+}
+
 func TestParseStatement(t *testing.T) {
 	for _, c := range []struct {
 		value string
