--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -76,8 +76,8 @@
 	// its cold start.
 	coldSlotFraction = 0.5
 	// coldUtilisation is the utilisation of an idle server that is cold and limits its
-	// rate: warm servers are used first while they have room.
-	coldUtilisation = dataCentreSpillover
+	// rate: warm servers of the region are used first while they have room.
+	coldUtilisation = 0.85
 	// distanceLevels counts local data centre, local region and other regions.
 	distanceLevels = 3
 )
--- a/apricotd/internal/process/picker/picker_test.go
+++ b/apricotd/internal/process/picker/picker_test.go
@@ -53,6 +53,26 @@
 	})
 }
 
+// Guards against requests at a cold server, which has room for few, while warm ones of the
+// region have room, and against leaving the region while the cold one has some.
+func TestWarmServersFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Picker{DataCentre: "n1", Region: "n", ColdRate: func(s *lister.Server) float64 {
+			if s.DataCentre == "n1" {
+				return 13
+			}
+			return 0
+		}}
+		list := servers("n1", "n2", "s1")
+		if got := countChoices(p, list, 7, true, nil); got["n2"] != 7 {
+			t.Errorf("7 requests in progress: got %v, want all in n2", got)
+		}
+		if got := countChoices(p, list, 2, true, nil); got["s1"] != 0 || got["n1"] == 0 {
+			t.Errorf("2 more: got %v, want some at the cold server and none in s1", got)
+		}
+	})
+}
+
 // Guards against a grey failure: a server that immediately rejects half of its
 // requests appears the least loaded and attracts more.
 func TestGreyServerGetsLittle(t *testing.T) {
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -21,6 +21,7 @@
 package mesher
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -303,26 +304,24 @@
 	}
 	n.notices = &noticer.Directory{OnWarm: n.forgetCold}
 	n.invoker = &invoker.Invoker{
-		Names:      n.Names,
-		Exchanger:  n.exchanger,
-		Admitter:   admission,
-		Identifier: n.identifier,
-		Estimator:  n.estimator,
-		Tuner:      &tuner.Tuner{},
-		Correlator: n.correlator,
-		Quarantine: n.quarantine,
-		Noticer:    n.noticer,
-		Log:        n.Log,
-		Metrics:    n.metrics,
-		OnBroken:   n.checkCrash,
-		OnNewServer: func(id string) {
-			n.warmer.SetServer(id)
-			n.requestProbe()
-		},
+		Names:       n.Names,
+		Exchanger:   n.exchanger,
+		Admitter:    admission,
+		Identifier:  n.identifier,
+		Estimator:   n.estimator,
+		Tuner:       &tuner.Tuner{},
+		Correlator:  n.correlator,
+		Quarantine:  n.quarantine,
+		Noticer:     n.noticer,
+		Log:         n.Log,
+		Metrics:     n.metrics,
+		OnBroken:    n.checkCrash,
+		OnNewServer: n.onNewServer,
+		Downstream:  func(route string) throttler.Overload { return n.proxier.Downstream(route) },
+
 		OnUnreachable: func() { n.warmer.Doubt("unreachable") },
 		IsCold:        n.warmer.IsLimited,
 		MarkCold:      n.warmer.Mark,
-		Downstream:    func(route string) throttler.Overload { return n.proxier.Downstream(route) },
 	}
 	n.invoker.SetSlots(defaultSlots)
 	n.traffic = newTrafficCounter(n.metrics, n.scopeOf)
@@ -460,6 +459,12 @@
 	return initialLimits
 }
 
+// onNewServer is called when the backend server has reported a new id in a response.
+func (n *Node) onNewServer(id string) {
+	n.warmer.SetServer(id)
+	n.requestProbe()
+}
+
 // coldRate returns the rate of requests that a server tolerates while it is cold, as it
 // is taken to be until its node has said that it is warm; 0 if it is warm.
 func (n *Node) coldRate(s *lister.Server) float64 {
@@ -534,7 +539,7 @@
 		n.invoker.SetSlots(s.Slots)
 	}
 	if r := n.syncer.Resolver(); r != nil {
-		if pool := r.Tables.Pools[n.localPool()]; pool != nil {
+		if pool := r.Tables.Pools[cmp.Or(identity.Pool, n.localPool())]; pool != nil {
 			n.warmer.SetPool(pool.ColdStart, pool.ColdRate)
 		}
 	}
