--- a/apricotd/mesher/internal/warmer/warmer.go
+++ b/apricotd/mesher/internal/warmer/warmer.go
@@ -192,6 +192,11 @@
 		return
 	}
 	w.state, w.evidence = Unknown, reason
+	w.wantProbe()
+}
+
+// wantProbe asks for a health check at once.
+func (w *Warmer) wantProbe() {
 	w.inDoubt = true
 	if w.coldRate > 0 && w.WantProbe != nil {
 		w.WantProbe()
@@ -202,9 +207,13 @@
 // be cold when it is taken back.
 func (w *Warmer) SetEvacuated(evacuated bool) {
 	w.change(func(now time.Time) {
-		if w.evacuated != evacuated {
-			w.evacuated = evacuated
-			w.doubt("evacuation", now)
+		if w.evacuated == evacuated {
+			return
+		}
+		w.evacuated = evacuated
+		w.doubt("evacuation", now)
+		if !evacuated {
+			w.wantProbe()
 		}
 	})
 }
@@ -381,6 +390,9 @@
 	case w.state == Cold:
 		return max(time.Millisecond, w.coldUntil.Sub(now))
 	}
+	if w.wasObserved { // the next health check tells
+		return min(w.coldStart, unknownProbeGap)
+	}
 	return max(time.Millisecond, w.coldStart)
 }
 
@@ -411,8 +423,11 @@
 		}
 	default:
 		gap = unknownProbeGap
-		if w.inDoubt {
+		switch {
+		case w.inDoubt:
 			gap = 0
+		case w.evacuated: // no response changes that
+			gap = maxProbeGap
 		}
 	}
 	return max(0, gap-since), true
--- a/apricotd/mesher/internal/warmer/warmer_test.go
+++ b/apricotd/mesher/internal/warmer/warmer_test.go
@@ -270,6 +270,18 @@
 		if d, ok := w.UntilProbe(); !ok || d != unknownProbeGap || wanted != 1 {
 			t.Errorf("after an unanswered health check: got the next in %v, asked for %d times, want it after %v", d, wanted, unknownProbeGap)
 		}
+		if got := w.Left(); got > unknownProbeGap {
+			t.Errorf("cold time left of a server in doubt: got %v, want at most the time until the next health check", got)
+		}
+		w.SetEvacuated(true)
+		w.BeginProbe()
+		if d, _ := w.UntilProbe(); d != maxProbeGap {
+			t.Errorf("while evacuated: got the next health check in %v, want it after %v", d, maxProbeGap)
+		}
+		w.SetEvacuated(false)
+		if d, _ := w.UntilProbe(); d != 0 || wanted != 2 {
+			t.Errorf("taken back: got a health check in %v, asked for %d times, want one at once", d, wanted)
+		}
 	})
 }
 
