--- a/apricotd/mesher/internal/warmer/warmer.go
+++ b/apricotd/mesher/internal/warmer/warmer.go
@@ -104,8 +104,9 @@
 		// no lock held and may be nil.
 		OnChange func()
 		Announce func()
-		// WantProbe is called, with the lock held, when so many requests have been taken
-		// that a health check is due. It must not block or call the Warmer, and may be nil.
+		// WantProbe is called, with the lock held, when a health check is due because so
+		// many requests have been taken, or because the state has been put in doubt. It
+		// must not block or call the Warmer, and may be nil.
 		WantProbe func()
 
 		mu          sync.Mutex
@@ -124,6 +125,7 @@
 		refilledAt  time.Time
 		taken       uint64 // requests and probes
 		probedAt    time.Time
+		inDoubt     bool   // no probe has begun since the state was put in doubt
 		probeTaken  uint64 // value of taken at the last probe
 		marked      bool   // a peer has been told that the server is cold
 		announcedAt time.Time
@@ -186,8 +188,18 @@
 
 func (w *Warmer) doubt(reason string, now time.Time) {
 	w.doubtedAt = now
-	if w.state != Unknown {
-		w.state, w.evidence = Unknown, reason
+	if w.state == Unknown {
+		return
+	}
+	w.state, w.evidence = Unknown, reason
+	w.wantProbe()
+}
+
+// wantProbe asks for a health check at once.
+func (w *Warmer) wantProbe() {
+	w.inDoubt = true
+	if w.coldRate > 0 && w.WantProbe != nil {
+		w.WantProbe()
 	}
 }
 
@@ -195,9 +207,13 @@
 // be cold when it is taken back.
 func (w *Warmer) SetEvacuated(evacuated bool) {
 	w.change(func(now time.Time) {
-		if w.evacuated != evacuated {
-			w.evacuated = evacuated
-			w.doubt("evacuation", now)
+		if w.evacuated == evacuated {
+			return
+		}
+		w.evacuated = evacuated
+		w.doubt("evacuation", now)
+		if !evacuated {
+			w.wantProbe()
 		}
 	})
 }
@@ -208,7 +224,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	w.take(now)
-	w.probedAt, w.probeTaken = now, w.taken
+	w.probedAt, w.probeTaken, w.inDoubt = now, w.taken, false
 	return Probe{sentAt: now, taken: w.taken}
 }
 
@@ -374,6 +390,9 @@
 	case w.state == Cold:
 		return max(time.Millisecond, w.coldUntil.Sub(now))
 	}
+	if w.wasObserved { // the next health check tells
+		return min(w.coldStart, unknownProbeGap)
+	}
 	return max(time.Millisecond, w.coldStart)
 }
 
@@ -404,6 +423,12 @@
 		}
 	default:
 		gap = unknownProbeGap
+		switch {
+		case w.inDoubt:
+			gap = 0
+		case w.evacuated: // no response changes that
+			gap = maxProbeGap
+		}
 	}
 	return max(0, gap-since), true
 }
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -21,6 +21,7 @@
 package mesher
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -314,25 +315,22 @@
 	n.gauger = &gauger.Gauger{IsAlwaysRead: s.Balancing.ByExpectedWork == always}
 	n.appraiser = &appraiser.Appraiser{}
 	n.invoker = &invoker.Invoker{
-		Names:      n.Names,
-		Exchanger:  n.exchanger,
-		Admitter:   admission,
-		Identifier: n.identifier,
-		Estimator:  n.estimator,
-		Tuner:      &tuner.Tuner{},
-		Correlator: n.correlator,
-		Quarantine: n.quarantine,
-		Noticer:    n.noticer,
-		Gauger:     n.gauger,
-		Log:        n.Log,
-		Metrics:    n.metrics,
-		Region:     s.Region,
-		Homes:      n.homes,
-		OnBroken:   n.checkCrash,
-		OnNewServer: func(id string) {
-			n.warmer.SetServer(id)
-			n.requestProbe()
-		},
+		Names:         n.Names,
+		Exchanger:     n.exchanger,
+		Admitter:      admission,
+		Identifier:    n.identifier,
+		Estimator:     n.estimator,
+		Tuner:         &tuner.Tuner{},
+		Correlator:    n.correlator,
+		Quarantine:    n.quarantine,
+		Noticer:       n.noticer,
+		Gauger:        n.gauger,
+		Log:           n.Log,
+		Metrics:       n.metrics,
+		Region:        s.Region,
+		Homes:         n.homes,
+		OnBroken:      n.checkCrash,
+		OnNewServer:   n.onNewServer,
 		OnUnreachable: func() { n.warmer.Doubt("unreachable") },
 		IsCold:        n.warmer.IsLimited,
 		MarkCold:      n.warmer.Mark,
@@ -497,6 +495,12 @@
 	return regions, r.Tables.Version
 }
 
+// onNewServer is called when the backend server has reported a new id in a response.
+func (n *Node) onNewServer(id string) {
+	n.warmer.SetServer(id)
+	n.requestProbe()
+}
+
 // coldRate returns the rate of requests that a server tolerates while it is cold, as it
 // is taken to be until its node has said that it is warm; 0 if it is warm.
 func (n *Node) coldRate(s *lister.Server) float64 {
@@ -571,7 +575,7 @@
 		n.invoker.SetSlots(s.Slots)
 	}
 	if r := n.syncer.Resolver(); r != nil {
-		if pool := r.Tables.Pools[n.localPool()]; pool != nil {
+		if pool := r.Tables.Pools[cmp.Or(identity.Pool, n.localPool())]; pool != nil {
 			n.warmer.SetPool(pool.ColdStart, pool.ColdRate)
 		}
 	}
