--- a/apricotd/internal/process/picker/picker_test.go
+++ b/apricotd/internal/process/picker/picker_test.go
@@ -137,3 +137,47 @@
 		}
 	})
 }
+
+// Guards against an evacuated data centre that gets requests when the others are full, and
+// against other regions left idle while the own one, less its evacuated data centre, is.
+func TestEvacuatedDataCentreIsNotChosen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		evacuated := map[string]bool{"n1": true}
+		p := &Picker{DataCentre: "n1", Region: "n", IsEvacuated: func(dataCentre string) bool { return evacuated[dataCentre] }}
+		list := servers("n1", "n2", "s1")
+		got := countChoices(p, list, 18, true, nil)
+		if got["n1"] != 0 || got["n2"] < 9 || got["s1"] < 7 {
+			t.Errorf("18 requests in progress: got %v, want none in n1, at least 9 in n2 and 7 in s1", got)
+		}
+		got = countChoices(p, list, 20, true, nil)
+		if got["n1"] != 0 || got["n2"]+got["s1"] != 20 {
+			t.Errorf("20 more: got %v, want none in n1", got)
+		}
+		evacuated["n2"], evacuated["s1"] = true, true
+		if _, ok := p.Choose(list, nil, Request{}); ok || !p.IsEachEvacuated(list, Request{}) {
+			t.Error("all data centres evacuated: got a server, want none and that reason")
+		}
+		delete(evacuated, "n2")
+		if p.IsEachEvacuated(list, Request{}) || !p.IsEachEvacuated(list, Request{Regions: []string{"s"}}) {
+			t.Error("home region evacuated: got another reason for the refusal, want this one for requests with a home only")
+		}
+	})
+}
+
+// Guards against one refusal for each server of a data centre, at a node that has not
+// heard of the evacuation yet.
+func TestRefusalAsEvacuatedHoldsForDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Picker{DataCentre: "n1", Region: "n"}
+		list := servers("n1", "n1", "n1", "n2")
+		choice, _ := p.Choose(list, nil, Request{})
+		choice.Done(Report{Result: Evacuated})
+		if got := countChoices(p, list, 10, false, func(string) Report { return Report{Result: Served} }); got["n2"] != 10 {
+			t.Errorf("choices after the refusal: got %v, want 10 in n2", got)
+		}
+		time.Sleep(2 * evacuatedBackoff)
+		if got := countChoices(p, list, 10, false, func(string) Report { return Report{Result: Served} }); got["n1"] != 10 {
+			t.Errorf("choices after the backoff: got %v, want 10 in n1", got)
+		}
+	})
+}
