--- a/apricotd/mesher/restoration_test.go
+++ b/apricotd/mesher/restoration_test.go
@@ -191,9 +191,11 @@
 	r.store.SetAway(false)
 	r.unstable, r.isAway = time.Now(), false
 	// The nodes cannot tell an evacuation that the copy lacks from one that has ended
-	// before they reached the restored store, so the operator orders all again.
+	// before they reached the restored store (docs/design/evacuation.md), so the operator
+	// orders all again when they have reached it.
 	for _, dataCentre := range slices.Sorted(maps.Keys(r.orderedAt)) {
-		time.AfterFunc(100*time.Millisecond+time.Duration(r.evacuateRNG.Int64N(int64(rewriteTime))), func() { r.orderAgain(dataCentre) })
+		delay := rewriteTime/2 + time.Duration(r.evacuateRNG.Int64N(int64(rewriteTime/2)))
+		time.AfterFunc(delay, func() { r.orderAgain(dataCentre) })
 	}
 }
 
--- a/apricotd/syncer/evacuations.go
+++ b/apricotd/syncer/evacuations.go
@@ -49,13 +49,18 @@
 
 // merge merges a state of a key and reports whether it is newer than the known one.
 func (v *evacuations) merge(e Evacuation, dataCentre string, now time.Time) bool {
-	if known := v.byKey[e.Key]; known != nil && e.Position.Compare(known.position) <= 0 {
+	known := v.byKey[e.Key]
+	if known != nil && e.Position.Compare(known.position) <= 0 {
 		return false
 	}
 	if v.byKey == nil {
 		v.byKey = make(map[string]*evacuation)
 	}
-	v.byKey[e.Key] = &evacuation{dataCentre: dataCentre, position: e.Position, ended: e.Ended, since: now.Add(-e.For)}
+	since := now.Add(-e.For)
+	if known != nil && known.ended == e.Ended && known.since.Before(since) {
+		since = known.since // the operator has written it again
+	}
+	v.byKey[e.Key] = &evacuation{dataCentre: dataCentre, position: e.Position, ended: e.Ended, since: since}
 	return true
 }
 
@@ -171,6 +176,8 @@
 		s.evacuationsDoubted = true
 	}
 	switch {
+	case !e.Ended && known != nil && !known.ended:
+		log.Info("evacuation written again")
 	case !e.Ended:
 		log.Warn("evacuation in force")
 	case known != nil && !known.ended:
