Callers come back later if their request would be lost to rejected calls

The node beside each server estimates which runs are lost that way, and callers' nodes refuse a first attempt with a Retry-After that still lets the answer be on time.

--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -65,6 +65,7 @@
 	"keyUnknown":       "this node refused it, because its tables do not have the key",
 	"rateExceeded":     "the owner of the organisation's bucket refused it, because the organisation had used up its rate; no server was asked",
 	"throttled":        "this node refused it before it asked a server, because it believed that a pool which the request needs is overloaded",
+	"postponed":        "this node refused it before it asked a server, because most requests of the route are lost to rejected calls; its caller can return and still be served on time",
 	"noServer":         "this node refused it, because it knew no server of the pool that it could use",
 	"overloaded":       "the node beside the server refused it, because no slot became free in time; it has not run",
 	"leaving":          "the node beside the server refused it, because the server or that node accepts nothing new; it has not run",
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -43,6 +43,7 @@
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
+	"apricotrudder.dev/apricotd/internal/request/forecaster"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/checker"
 	"apricotrudder.dev/apricotd/version/lister"
@@ -98,6 +99,7 @@
 	Estimator  *estimator.Estimator
 	Tuner      *tuner.Tuner
 	Correlator *correlator.Correlator
+	Forecaster *forecaster.Forecaster
 	Quarantine *quarantiner.Quarantiner
 	Noticer    *noticer.Noticer
 	Log        logrus.FieldLogger
@@ -186,9 +188,10 @@
 	deadline := time.Now().Add(time.Duration(run.RemainingMs) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	result := i.admit(ctx, run, deadline)
+	result, isLost := i.admit(ctx, run, deadline)
 	result.Load = i.Load()
 	overload := i.overload(run)
+	result.Load.Lost, result.Load.Rejected = i.Forecaster.LostFraction(run.Route), isLost
 	result.Load.Excess, result.Load.Bottleneck, result.Load.Demand = overload.Excess, overload.Bottleneck, i.Estimator.Demand()
 	return result
 }
@@ -203,13 +206,13 @@
 	return own
 }
 
-func (i *Invoker) admit(ctx context.Context, run *linkwire.Run, deadline time.Time) *linkwire.Result {
+func (i *Invoker) admit(ctx context.Context, run *linkwire.Run, deadline time.Time) (result *linkwire.Result, isLost bool) {
 	i.adoptNotice(run)
 	if _, refusal := i.check(run, deadline); refusal != nil {
-		return refusal
+		return refusal, false
 	}
 	if i.Quarantine.HasSuspects() && i.Quarantine.IsQuarantined(fingerprint(run)) {
-		return refusalResult(Quarantined, "backend servers crashed that ran it", QuarantineRetryAfter)
+		return refusalResult(Quarantined, "backend servers crashed that ran it", QuarantineRetryAfter), false
 	}
 	i.waiting.Add(1)
 	release, err := i.Admitter.Enter(ctx, admitter.Request{
@@ -222,11 +225,11 @@
 	})
 	i.waiting.Add(-1)
 	if err != nil {
-		result := shedResult(err)
+		result = shedResult(err)
 		if result.GetRefusal().Reason == Overloaded {
 			i.Estimator.RecordRefused()
 		}
-		return result
+		return result, false
 	}
 	i.Estimator.RecordAdmitted(run.Held)
 	i.recordRepeat(run.Repeat)
@@ -235,9 +238,11 @@
 	start := time.Now()
 	running, _ := i.Admitter.Load()
 	defer i.Correlator.Begin(run.Route)()
-	result := i.invoke(ctx, run, deadline)
+	endForecast := i.Forecaster.Begin(run.Route)
+	result = i.invoke(ctx, run, deadline)
 	answered = result.GetAnswer() != nil
 	if answered {
+		isLost = endForecast(result.GetAnswer().Status >= http.StatusInternalServerError)
 		took := time.Since(start)
 		i.recordServiceTime(took)
 		i.Tuner.Observe(run.Route, running, took)
@@ -246,7 +251,7 @@
 			i.Quarantine.Clear(fingerprint(run))
 		}
 	}
-	return result
+	return result, isLost
 }
 
 // invoke sends the request. If the server rejects the id and states another
--- /dev/null
+++ b/apricotd/internal/request/postponer/postponer.go
@@ -0,0 +1,199 @@
+// Package postponer decides which callers should come back later because their
+// request would probably be lost to rejected calls if it ran now.
+//
+// While servers of a pool reject a fraction of their requests whatever their load,
+// a request that needs several calls to that pool rarely comes through. Running it
+// ends with an error of its backend server, after which a request that must not be
+// repeated is never sent again. A refusal before it runs costs its caller nothing
+// but the wait: the caller returns once, and if the pool has recovered by then, it
+// is still served on time.
+//
+// It is guaranteed that only the first attempt of a caller is postponed, and only
+// if it can be back so early that an answer after the usual time still meets the
+// route's latency target. A caller that returns is let in, so none is refused twice
+// for this reason, and the returning ones show when the pool has recovered.
+//
+// # Usage
+//
+//	p := &postponer.Postponer{}
+//	p.Observe("order", serverID, lostFraction) // with each result
+//	p.ObserveAnswer("order", took)             // with each success
+//	if delay, ok := p.Delay(postponer.Request{...}); ok { ... } // refuse, Retry-After: delay
+//
+// A decision iterates over the servers that have recently reported on the route.
+package postponer
+
+import (
+	"sync"
+	"time"
+
+	"apricotrudder.dev/apricotd/internal/process/decayer"
+)
+
+const (
+	// maxLost and maxLostIdempotent are the fractions of lost requests from which
+	// callers are postponed. A caller may repeat an idempotent request at once after an
+	// error, so it has two chances without a refusal as well.
+	maxLost           = 0.75
+	maxLostIdempotent = 0.85
+	// reportHalfLife is the half-life of the weight of one server's report.
+	reportHalfLife = 300 * time.Millisecond
+	// expireAfter is the age at which a report is dropped. It exceeds the longest
+	// delay, so that the estimate lasts until the first callers have returned.
+	expireAfter = 3 * time.Second
+	// latencySmoothing is the weight of one answer in the mean latency.
+	latencySmoothing = 0.1
+	// latencyFactor times the mean latency is the time to allow for an answer.
+	latencyFactor = 1.5
+	// maxLeftFraction is the fraction of the time left for which callers wait at
+	// most.
+	maxLeftFraction = 1.0 / 3
+	// returnedFraction is the fraction of the time that callers of a route state at
+	// first below which a caller is taken to have returned. minDelayFraction is the
+	// least delay as a fraction of that time; a shorter one could not be told apart.
+	returnedFraction = 0.95
+	minDelayFraction = 0.1
+	// statedWindow is how long the longest time stated by a caller counts.
+	statedWindow = 10 * time.Second
+	// evictionThreshold is the number of stored routes at which idle ones, such as
+	// those of past versions of the tables, are evicted.
+	evictionThreshold = 1024
+)
+
+type (
+	// A Postponer holds what this node knows of each route. The zero value is ready
+	// to use.
+	Postponer struct {
+		mu     sync.Mutex
+		routes map[string]*route
+	}
+
+	// A Request holds the properties of a caller's request on which the decision
+	// depends.
+	Request struct {
+		Route      string
+		Idempotent bool
+		// Left is the time that the caller will wait, as it states.
+		Left time.Duration
+		// Target is the route's latency target.
+		Target time.Duration
+	}
+
+	route struct {
+		reports  map[string]report // by server
+		latency  float64           // mean, seconds
+		stated   time.Duration     // longest time stated by a caller
+		statedAt time.Time
+	}
+
+	report struct {
+		lost       float64
+		receivedAt time.Time
+	}
+)
+
+// Observe records the fraction of the runs of a route that a server's node reports
+// as lost to rejected calls.
+func (p *Postponer) Observe(name, server string, lost float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.route(name).reports[server] = report{lost: lost, receivedAt: time.Now()}
+}
+
+// ObserveAnswer records how long a caller's request took that was answered with a
+// success.
+func (p *Postponer) ObserveAnswer(name string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.route(name)
+	if r.latency == 0 {
+		r.latency = took.Seconds()
+		return
+	}
+	r.latency += (took.Seconds() - r.latency) * latencySmoothing
+}
+
+// Delay returns after what time a caller should come back, if its request is
+// better not run now.
+func (p *Postponer) Delay(rq Request) (delay time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	r := p.route(rq.Route)
+	hasReturned := r.observeStated(rq.Left, now)
+	if hasReturned || rq.Target == 0 || r.lostFraction(now) < threshold(rq.Idempotent) {
+		return 0, false
+	}
+	usual := time.Duration(latencyFactor * r.latency * float64(time.Second))
+	delay = min(rq.Target-usual, time.Duration(maxLeftFraction*float64(rq.Left)))
+	return delay, delay >= time.Duration(minDelayFraction*float64(r.stated))
+}
+
+// LostFraction returns the fraction of a route's requests that are lost to rejected
+// calls, as servers have recently reported.
+func (p *Postponer) LostFraction(name string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.routes[name]; r != nil {
+		return r.lostFraction(time.Now())
+	}
+	return 0
+}
+
+func threshold(idempotent bool) float64 {
+	if idempotent {
+		return maxLostIdempotent
+	}
+	return maxLost
+}
+
+func (p *Postponer) route(name string) *route {
+	if p.routes == nil {
+		p.routes = make(map[string]*route)
+	}
+	r := p.routes[name]
+	if r == nil {
+		if len(p.routes) >= evictionThreshold {
+			p.evictIdle(time.Now())
+		}
+		r = &route{reports: make(map[string]report)}
+		p.routes[name] = r
+	}
+	return r
+}
+
+// evictIdle drops the routes without a recent request.
+func (p *Postponer) evictIdle(now time.Time) {
+	for name, r := range p.routes {
+		if now.Sub(r.statedAt) > statedWindow {
+			delete(p.routes, name)
+		}
+	}
+}
+
+// observeStated records the time that a caller states and reports whether it has
+// been here before: it has less time left than others of the route.
+func (r *route) observeStated(left time.Duration, now time.Time) (hasReturned bool) {
+	if left >= r.stated || now.Sub(r.statedAt) > statedWindow {
+		r.stated, r.statedAt = left, now
+	}
+	return left < time.Duration(returnedFraction*float64(r.stated))
+}
+
+func (r *route) lostFraction(now time.Time) float64 {
+	sum, total := 0.0, 0.0
+	for server, rep := range r.reports {
+		age := now.Sub(rep.receivedAt)
+		if age > expireAfter {
+			delete(r.reports, server)
+			continue
+		}
+		weight := decayer.Factor(age, reportHalfLife)
+		sum += weight * rep.lost
+		total += weight
+	}
+	if total == 0 {
+		return 0
+	}
+	return sum / total
+}
--- /dev/null
+++ b/apricotd/internal/request/postponer/postponer_test.go
@@ -0,0 +1,256 @@
+package postponer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"apricotrudder.dev/apricotd/internal/request/forecaster"
+)
+
+const (
+	patience    = 5 * time.Second
+	target      = 1500 * time.Millisecond
+	treeTime    = 350 * time.Millisecond // a run that comes through
+	slotTime    = 180 * time.Millisecond // occupied at the root by any run
+	rejectFrom  = 3 * time.Second
+	rejectUntil = 11500 * time.Millisecond
+	acceptance  = 0.45 // of each call while the pool rejects
+	rate        = 200  // requests of each class and second
+	duration    = 16
+
+	organisations = 4 // their requests arrive in turn
+)
+
+type (
+	// A class is a kind of request in the model.
+	class struct {
+		name       string
+		idempotent bool
+		calls      int
+		worth      float64
+	}
+
+	// A policy returns after what time the caller should come back, or 0.
+	policy func(c class, left, now time.Duration) time.Duration
+
+	// A chain is a model of call trees that end at one pool. Every server of the pool
+	// rejects the same fraction of calls for some seconds, whatever its load.
+	chain struct {
+		random     *rand.Rand
+		forecaster map[string]*forecaster.Forecaster
+		postponer  *Postponer
+		start      time.Time
+	}
+
+	result struct {
+		worth, worstSecond, worstClass, worstOrganisation, wasted float64
+	}
+)
+
+var classes = []class{{"order", false, 4, 3}, {"search", true, 4, 1}, {"group", false, 8, 2.6}}
+
+// run runs one attempt and reports whether it came through.
+func (m *chain) run(c class) bool {
+	f := m.forecaster[c.name]
+	end := f.Begin(c.name)
+	ok := true
+	for range c.calls {
+		if now := time.Since(m.start); ok && now >= rejectFrom && now < rejectUntil && m.random.Float64() > acceptance {
+			f.RecordRejectedCall()
+			ok = false
+		}
+	}
+	end(!ok)
+	m.postponer.Observe(c.name, "s", f.LostFraction(c.name))
+	if ok {
+		m.postponer.ObserveAnswer(c.name, treeTime)
+	}
+	return ok
+}
+
+// play sends every class at the rate and returns what callers got under a policy.
+// Callers return once: after a refusal when told to, after a failure at once if the
+// request is idempotent.
+func (m *chain) play(decide policy) result {
+	type attempt struct {
+		class
+		sentAt, due time.Duration
+		second      bool
+		by          int // organisation
+	}
+	const step = time.Second / rate
+	var earned, owed [duration]float64
+	var byOrganisation [organisations]float64
+	byClass := make(map[string]float64)
+	wasted := 0.0
+	var returning []attempt
+	try := func(a attempt) {
+		now := time.Since(m.start)
+		var due time.Duration
+		if delay := decide(a.class, patience-(now-a.sentAt), now); delay > 0 {
+			due = now + delay
+		} else if m.run(a.class) {
+			if now-a.sentAt+treeTime <= target {
+				earned[a.sentAt/time.Second] += a.worth
+				byClass[a.name]++
+				byOrganisation[a.by] += a.worth
+			}
+			return
+		} else {
+			wasted += slotTime.Seconds()
+			if !a.idempotent {
+				return
+			}
+			due = now
+		}
+		if !a.second {
+			returning = append(returning, attempt{a.class, a.sentAt, due, true, a.by})
+		}
+	}
+	for i, now := 0, time.Duration(0); now < (duration+3)*time.Second; i, now = i+1, now+step {
+		waiting := returning
+		returning = nil
+		for _, a := range waiting {
+			if a.due > now {
+				returning = append(returning, a)
+				continue
+			}
+			try(a)
+		}
+		if now < duration*time.Second {
+			for _, c := range classes {
+				owed[now/time.Second] += c.worth
+				try(attempt{class: c, sentAt: now, by: i % organisations})
+			}
+		}
+		time.Sleep(step)
+	}
+	r := result{worstSecond: 1, worstClass: 1, worstOrganisation: 1, wasted: wasted}
+	total := 0.0
+	for s := range owed {
+		r.worth += earned[s]
+		total += owed[s]
+		r.worstSecond = min(r.worstSecond, earned[s]/owed[s])
+	}
+	r.worth /= total
+	for _, worth := range byOrganisation {
+		r.worstOrganisation = min(r.worstOrganisation, worth*organisations/total)
+	}
+	for _, c := range classes {
+		r.worstClass = min(r.worstClass, byClass[c.name]/(rate*duration))
+	}
+	return r
+}
+
+// The load: all servers of the deepest pool reject 55 % of their calls for 8.5 s in
+// spite of free slots, and trees need four or eight of these calls one after the
+// other. The baseline runs every request. Naive refuses all while trees are lost and
+// tells callers to return soon. The optimum knows when the pool recovers and refuses
+// exactly those that can return after that and still be on time.
+func TestChainWhilePoolRejects(t *testing.T) {
+	play := func(make func(m *chain) policy) (r result) {
+		synctest.Test(t, func(*testing.T) {
+			m := &chain{random: rand.New(rand.NewPCG(1, 2)), forecaster: map[string]*forecaster.Forecaster{}, postponer: &Postponer{}, start: time.Now()}
+			for _, c := range classes {
+				m.forecaster[c.name] = &forecaster.Forecaster{}
+			}
+			r = m.play(make(m))
+		})
+		return r
+	}
+	const longest = target - treeTime
+	baseline := play(func(*chain) policy {
+		return func(class, time.Duration, time.Duration) time.Duration { return 0 }
+	})
+	naive := play(func(m *chain) policy {
+		return func(c class, _, _ time.Duration) time.Duration {
+			if m.postponer.LostFraction(c.name) > maxLost {
+				return 200 * time.Millisecond
+			}
+			return 0
+		}
+	})
+	postponed := play(func(m *chain) policy {
+		return func(c class, left, _ time.Duration) time.Duration {
+			delay, ok := m.postponer.Delay(Request{Route: c.name, Idempotent: c.idempotent, Left: left, Target: target})
+			if !ok {
+				return 0
+			}
+			return delay - time.Duration(m.random.Float64()*float64(delay)/3)
+		}
+	})
+	optimum := play(func(*chain) policy {
+		return func(_ class, left, now time.Duration) time.Duration {
+			if now >= rejectFrom && now < rejectUntil && left == patience && now+longest >= rejectUntil {
+				return longest
+			}
+			return 0
+		}
+	})
+	for name, r := range map[string]result{"baseline": baseline, "naive": naive, "postponed": postponed, "optimum": optimum} {
+		t.Logf("%-9s worth %.3f, worst second %.3f, worst class %.3f, worst organisation %.3f, slot time wasted %.0f s", name, r.worth, r.worstSecond, r.worstClass, r.worstOrganisation, r.wasted)
+	}
+	if gain, possible := postponed.worth-baseline.worth, optimum.worth-baseline.worth; gain < 0.5*possible {
+		t.Errorf("gain over the baseline: got %.3f of worth, want at least half of the %.3f that an optimal policy gains", gain, possible)
+	}
+	if postponed.worstClass <= baseline.worstClass {
+		t.Errorf("worst class: got %.3f, want more than the baseline's %.3f", postponed.worstClass, baseline.worstClass)
+	}
+	if postponed.worth <= naive.worth {
+		t.Errorf("worth: got %.3f, want more than the %.3f of refusing all", postponed.worth, naive.worth)
+	}
+	if postponed.worstOrganisation <= baseline.worstOrganisation {
+		t.Errorf("worst organisation: got %.3f, want more than the baseline's %.3f", postponed.worstOrganisation, baseline.worstOrganisation)
+	}
+	// Searches run once instead of twice; each of the other two classes runs once.
+	if got, want := postponed.wasted, 0.75*baseline.wasted; got > want {
+		t.Errorf("slot time wasted: got %.0f s, want at most %.0f s", got, want)
+	}
+}
+
+// Only callers who have not been here may be postponed, and only if they can be back
+// on time.
+func TestPostponesOnceAndOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Postponer{}
+		first := Request{Route: "order", Left: patience, Target: target}
+		p.ObserveAnswer("order", 300*time.Millisecond)
+		if _, ok := p.Delay(first); ok {
+			t.Error("postponed although nothing is lost")
+		}
+		p.Observe("order", "s", 0.9)
+		delay, ok := p.Delay(first)
+		if !ok || (delay-(target-450*time.Millisecond)).Abs() > time.Millisecond {
+			t.Errorf("delay of a first attempt: got %v, %v, want the target less the usual time", delay, ok)
+		}
+		for _, c := range []struct {
+			name string
+			rq   Request
+		}{
+			{"a caller that has returned", Request{Route: "order", Left: patience - delay*2/3, Target: target}},
+			{"a target that leaves no time", Request{Route: "order", Left: patience, Target: 500 * time.Millisecond}},
+			{"an idempotent request that may be repeated at once", Request{Route: "order", Idempotent: true, Left: patience, Target: target}},
+			{"a route without a target", Request{Route: "order", Left: patience}},
+		} {
+			p.Observe("order", "s", 0.8)
+			if _, ok := p.Delay(c.rq); ok {
+				t.Errorf("%s was postponed", c.name)
+			}
+		}
+		// One failing server of several must not count for all.
+		for i := range 5 {
+			p.Observe("order", fmt.Sprint(i), 0)
+		}
+		if _, ok := p.Delay(first); ok {
+			t.Error("postponed although most servers lose nothing")
+		}
+		p.Observe("order", "s", 1)
+		time.Sleep(expireAfter + time.Second)
+		if _, ok := p.Delay(first); ok {
+			t.Error("postponed by expired reports")
+		}
+	})
+}
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -100,6 +100,10 @@
 	if load := result.GetLoad(); load != nil {
 		p.Notices.Record(address, load.Notice)
 		p.Throttler.Observe(rq.route.Name, c.Server.ID, p.reportedOverload(rq.pool, load))
+		rq.lost = load.Rejected || isRejected(result)
+		if !rq.isCall {
+			p.Postponer.Observe(rq.route.Name, c.Server.ID, load.Lost)
+		}
 	}
 	return o
 }
@@ -115,6 +119,13 @@
 	return o
 }
 
+// isRejected reports whether a server has rejected the request in spite of free
+// slots.
+func isRejected(result *linkwire.Result) bool {
+	load := result.GetLoad()
+	return result.GetRefusal().GetReason() == invoker.Shed && load.Running+load.Waiting < load.Slots
+}
+
 func (p *Proxier) hasUnlimitedServer(pool string) bool {
 	for _, s := range p.List().Pool(pool) {
 		m := p.Notices.Notice(s.Address.Addr())
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -24,6 +24,7 @@
 	reasonKeyUnknown   = "keyUnknown"
 	reasonRateExceeded = "rateExceeded"
 	reasonThrottled    = "throttled"
+	reasonPostponed    = "postponed"
 	reasonNoServer     = "noServer"
 )
 
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -38,7 +39,9 @@
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/retrylimiter"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
+	"apricotrudder.dev/apricotd/internal/request/forecaster"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
+	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -113,6 +116,11 @@
 		// Correlator estimates which calls the own backend server makes for each
 		// route.
 		Correlator *correlator.Correlator
+		// Forecaster learns of the calls of the own backend server that are rejected.
+		Forecaster *forecaster.Forecaster
+		// Postponer refuses callers' requests that would probably be lost to rejected
+		// calls.
+		Postponer *postponer.Postponer
 		// StateAge returns for how long the tables have been in force, and the time
 		// since the node last knew that it had all changes of the published state.
 		StateAge func() (tables, current time.Duration)
@@ -132,8 +140,9 @@
 		organisation      *resolver.Organisation
 		version           uint64
 		rank              int
-		preference        int     // order within the rank, by organisation
-		throttledFraction float64 // fraction of the requests of its route and rank that is throttled
+		preference        int           // order within the rank, by organisation
+		throttledFraction float64       // fraction of the requests of its route and rank that is throttled
+		stated            time.Duration // how long the caller will wait, as it states
 		deadline          time.Time
 		fields            []*linkwire.Field
 		isCall            bool
@@ -141,6 +150,7 @@
 		arrivals          int     // backend servers that it has reached, or may have reached
 		tries             int     // servers tried
 		lastServer        string
+		lost              bool // whether the last attempt was lost to a rejection in spite of free slots
 	}
 )
 
@@ -174,6 +184,7 @@
 	o := p.admit(ctx, rq)
 	if o == nil {
 		o = p.run(ctx, rq)
+		p.observeOutcome(rq, o)
 	}
 	stopping := errors.Is(context.Cause(ctx), acceptor.ErrStopping)
 	if stopping {
@@ -222,6 +233,9 @@
 	if o := p.throttle(rq); o != nil {
 		return o
 	}
+	if o := p.postpone(rq); o != nil {
+		return o
+	}
 	rq.fields = p.forwardedFields(rq)
 	return p.takeRateToken(ctx, rq)
 }
@@ -265,6 +279,41 @@
 	}
 }
 
+// postpone refuses a caller's request that would probably be lost to rejected
+// calls, if its caller can still be served on time after it has returned.
+func (p *Proxier) postpone(rq *request) outcome {
+	if rq.isCall || rq.stated == 0 {
+		return nil
+	}
+	delay, ok := p.Postponer.Delay(postponer.Request{
+		Route:      rq.route.Name,
+		Idempotent: rq.route.Idempotent,
+		Left:       rq.stated,
+		Target:     rq.route.TargetLatency,
+	})
+	if !ok {
+		return nil
+	}
+	return refused{
+		reason:     reasonPostponed,
+		detail:     fmt.Sprintf("a fraction of %.2f of these requests is lost to rejected calls; the caller can be back in %d ms", p.Postponer.LostFraction(rq.route.Name), delay.Milliseconds()),
+		retryAfter: time.Duration(float64(delay) / (1 + retryAfterJitter)), // delay is the longest with jitter
+	}
+}
+
+// observeOutcome records the outcome of a request that was sent to servers: for a
+// call, whether it was rejected in spite of free slots, and for a caller's request,
+// how long a success took.
+func (p *Proxier) observeOutcome(rq *request, o outcome) {
+	answer, ok := o.(answered)
+	switch {
+	case rq.isCall && rq.lost:
+		p.Forecaster.RecordRejectedCall()
+	case !rq.isCall && ok && answer.Status < http.StatusMultipleChoices:
+		p.Postponer.ObserveAnswer(rq.route.Name, time.Since(rq.Received))
+	}
+}
+
 // Downstream returns the greatest estimated overload among the call trees of
 // the calls that the own backend server makes for a route. The excess of a call
 // that is made less than once for each request is scaled by its frequency.
@@ -307,8 +356,8 @@
 func (p *Proxier) deadline(rq *request) time.Time {
 	left := defaultTimeout
 	if ms, err := strconv.ParseInt(rq.Fields.Get(p.Names.RemainingTime), 10, 64); err == nil && ms >= 0 {
-		stated := time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
-		left = stated - min(callerMargin, stated/10)
+		rq.stated = time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+		left = rq.stated - min(callerMargin, rq.stated/10)
 	}
 	if rq.route.Timeout > 0 {
 		left = min(left, rq.route.Timeout)
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -52,7 +52,9 @@
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
+	"apricotrudder.dev/apricotd/internal/request/forecaster"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
+	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/syncer"
@@ -154,6 +156,7 @@
 	policer       *policer.Policer
 	estimator     *estimator.Estimator
 	correlator    *correlator.Correlator
+	forecaster    *forecaster.Forecaster
 	memory        *reserver.Reserver // the account of what requests occupy
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
@@ -278,6 +281,7 @@
 	}
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
+	n.forecaster = &forecaster.Forecaster{}
 	n.quarantine = &quarantiner.Quarantiner{}
 	admission := &admitter.Admitter{}
 	n.noticer = &noticer.Noticer{
@@ -295,6 +299,7 @@
 		Estimator:   n.estimator,
 		Tuner:       &tuner.Tuner{},
 		Correlator:  n.correlator,
+		Forecaster:  n.forecaster,
 		Quarantine:  n.quarantine,
 		Noticer:     n.noticer,
 		Log:         n.Log,
@@ -398,6 +403,8 @@
 		Quarantine:  n.quarantine,
 		Throttler:   &throttler.Throttler{},
 		Correlator:  n.correlator,
+		Forecaster:  n.forecaster,
+		Postponer:   &postponer.Postponer{},
 		StateAge:    n.syncer.StateAge,
 		Log:         n.Log,
 		Metrics:     n.metrics,
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -52,6 +52,9 @@
 	for pool, remaining := range n.proxier.Budget.Remaining() {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_retry_budget_left{pool=%q}`, pool), remaining)
 	}
+	for route, lost := range n.forecaster.LostFractions() {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(`apricot_lost_runs_ratio{route=%q}`, route), lost)
+	}
 	n.memory.Classes(func(class string, bytes int, refusals uint64) {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`apricot_memory_held_bytes{class=%q}`, class), uint64(max(0, bytes)))
 		metrics.WriteCounterUint64(w, fmt.Sprintf(`apricot_memory_refusals_total{class=%q}`, class), refusals)
