Throttle less urgent call trees before urgent requests on a shared pool

A route counted only towards the pool that its newest report named; reports on searches also name myappointment, so at those moments a node believed payments to be feecounter's only load.

A route now counts towards each pool that a report on it named in the last 5 s.

--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -5,8 +5,10 @@
 // which is its most overloaded pool, and the excess, which is the fraction of
 // the demand on that pool beyond its capacity. A request that would fail
 // several calls downstream is thus rejected at the root. All requests at this
-// node whose call trees have the same bottleneck share in the rejections, those
-// of the least urgent rank first.
+// node whose call trees lead to the bottleneck share in the rejections, those of
+// the least urgent rank first. A tree leads to a pool if any recent report on its
+// route names it: the most overloaded of several pools changes from one report to
+// the next, and the trees load the others all the same.
 //
 // # Usage
 //
@@ -72,10 +74,11 @@
 	}
 
 	route struct {
-		reports     map[string]report // by server
-		bottleneck  string            // from the newest report
-		reportedAt  time.Time         // of the newest report
-		reporter    string            // of the newest report
+		reports     map[string]report    // by server
+		bottleneck  string               // from the newest report
+		namedAt     map[string]time.Time // when a report last named a pool, by pool
+		reportedAt  time.Time            // of the newest report
+		reporter    string               // of the newest report
 		rank        int
 		demand      float64 // decaying count of callers' requests
 		requestedAt time.Time
@@ -94,6 +97,7 @@
 	r := t.getOrAdd(name)
 	r.reports[server] = report{Overload: o, receivedAt: time.Now()}
 	r.bottleneck, r.reporter, r.reportedAt = o.Bottleneck, server, time.Now()
+	r.namedAt[o.Bottleneck] = r.reportedAt
 }
 
 // Estimate returns the estimated overload of a route's call trees.
@@ -123,11 +127,11 @@
 	return max(0, min(1, (o.Excess*(below+same+above)-below)/same)), o
 }
 
-// demandByRank sums the demand of all routes that share a bottleneck, split
-// into ranks less urgent than, equal to and more urgent than the given one.
+// demandByRank sums the demand of all routes whose call trees lead to a bottleneck,
+// split into ranks less urgent than, equal to and more urgent than the given one.
 func (t *Throttler) demandByRank(bottleneck string, rank int, now time.Time) (below, same, above float64) {
 	for _, r := range t.routes {
-		if r.bottleneck != bottleneck || r.demand == 0 {
+		if r.demand == 0 || !r.leadsTo(bottleneck, now) {
 			continue
 		}
 		switch d := r.decayedDemand(now); {
@@ -177,7 +181,7 @@
 		if len(t.routes) >= evictionThreshold {
 			t.evictIdle(time.Now())
 		}
-		r = &route{reports: make(map[string]report)}
+		r = &route{reports: make(map[string]report), namedAt: make(map[string]time.Time)}
 		t.routes[name] = r
 	}
 	return r
@@ -192,6 +196,16 @@
 	}
 }
 
+// leadsTo reports whether a recent report on the route names the pool.
+func (r *route) leadsTo(pool string, now time.Time) bool {
+	at, ok := r.namedAt[pool]
+	if ok && now.Sub(at) > expireAfter && pool != r.bottleneck {
+		delete(r.namedAt, pool)
+		return false
+	}
+	return ok
+}
+
 // meanOverload weights the servers' reports by age and demand, so that one
 // overloaded server does not make a pool count as overloaded while the others
 // have spare capacity.
--- a/apricotd/internal/process/throttler/throttler_test.go
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -103,3 +103,83 @@
 		}
 	})
 }
+
+// The load: searches lead to payments by their calls and to records behind them, and
+// both pools are overloaded. Reports on searches name whichever is worse at the
+// moment. Payments go to the first pool directly and are the most urgent; they used
+// to be throttled as if they were its only load. The baseline counts the routes with
+// the same newest bottleneck, naive rejects the same fraction of all, and the optimum
+// rejects no payment while there are searches.
+func TestUrgentRequestsYieldLastOnSharedPool(t *testing.T) {
+	const (
+		payments, searches = 200.0, 600.0 // per second; a search makes two calls to payments
+		paymentWorth       = 4.9
+		searchWorth        = 0.86
+		excess             = 0.4 // of the demand on the pool payments
+		worse              = 0.5 // of the demand on records, at times
+	)
+	type result struct{ worth, worstClass, worstSecond float64 }
+	// serve returns what is served if fractions of both routes are rejected at the root:
+	// what is admitted beyond the capacity of the pool payments is lost evenly.
+	serve := func(payment, search float64) result {
+		capacity := (1 - excess) * (payments + 2*searches)
+		load := (1-payment)*payments + 2*(1-search)*searches
+		through := min(1, capacity/load)
+		p, s := (1-payment)*through, (1-search)*through*through
+		worth := (paymentWorth*payments*p + searchWorth*searches*s) / (paymentWorth*payments + searchWorth*searches)
+		return result{worth: worth, worstClass: min(p, s), worstSecond: worth}
+	}
+	// play runs the throttler for some seconds and returns the means and the worst second.
+	play := func(decide func(th *Throttler) (payment, search float64)) result {
+		mean := result{worstSecond: 1}
+		synctest.Test(t, func(*testing.T) {
+			th := &Throttler{}
+			const steps, perSecond = 1000, 100
+			second := 0.0
+			for i := range steps {
+				o := Overload{Excess: excess, Bottleneck: "payments", Demand: 100}
+				th.Observe("payment", "p1", o)
+				if i/30%2 == 0 { // the worse pool changes every 300 ms
+					o = Overload{Excess: worse, Bottleneck: "records", Demand: 100}
+				}
+				th.Observe("search", "s"+fmt.Sprint(i%4), o)
+				r := serve(decide(th))
+				mean.worth += r.worth / steps
+				mean.worstClass += r.worstClass / steps
+				if second += r.worth / perSecond; i%perSecond == perSecond-1 {
+					mean.worstSecond, second = min(mean.worstSecond, second), 0
+				}
+				time.Sleep(time.Second / perSecond)
+			}
+		})
+		return mean
+	}
+	throttle := func(th *Throttler) (payment, search float64) {
+		for range 2 {
+			payment, _ = th.ThrottleFraction("payment", 0)
+		}
+		for range 6 {
+			search, _ = th.ThrottleFraction("search", 1)
+		}
+		return payment, search
+	}
+	now := play(throttle)
+	baseline := play(func(th *Throttler) (payment, search float64) {
+		payment, search = throttle(th)
+		if th.routes["search"].bottleneck != "payments" {
+			payment = excess
+		}
+		return payment, search
+	})
+	naive := play(func(*Throttler) (payment, search float64) { return excess, excess })
+	optimum := serve(0, excess*(payments+2*searches)/(2*searches))
+	for name, r := range map[string]result{"baseline": baseline, "now": now, "naive": naive, "optimum": optimum} {
+		t.Logf("%-8s worth %.3f, worst second %.3f, worst class %.3f", name, r.worth, r.worstSecond, r.worstClass)
+	}
+	if now.worth <= baseline.worth || now.worth <= naive.worth {
+		t.Errorf("worth: got %.3f, want more than the baseline's %.3f and the %.3f of rejecting evenly", now.worth, baseline.worth, naive.worth)
+	}
+	if got, want := now.worth, 0.95*optimum.worth; got < want {
+		t.Errorf("worth: got %.3f, want at least 95 %% of the optimum, %.3f", got, want)
+	}
+}
