--- a/apricotd/internal/request/postponer/postponer.go
+++ b/apricotd/internal/request/postponer/postponer.go
@@ -20,6 +20,9 @@
 //	p.ObserveAnswer("order", took)             // with each success
 //	if delay, ok := p.Delay(postponer.Request{...}); ok { ... } // refuse, Retry-After: delay
 //
+// For callers that are refused for other reasons, LatestReturn says how long they may
+// be told to wait.
+//
 // A decision iterates over the servers that have recently reported on the route.
 package postponer
 
@@ -124,11 +127,23 @@
 	if hasReturned || rq.Target == 0 || r.lostFraction(now) < threshold(rq.Idempotent) {
 		return 0, false
 	}
-	usual := time.Duration(latencyFactor * r.latency * float64(time.Second))
-	delay = min(rq.Target-usual, time.Duration(maxLeftFraction*float64(rq.Left)))
+	delay = min(rq.Target-r.usualTime(), time.Duration(maxLeftFraction*float64(rq.Left)))
 	return delay, delay >= time.Duration(minDelayFraction*float64(r.stated))
 }
 
+// LatestReturn returns after what time a refused caller must be back at the latest so
+// that an answer after the usual time meets the route's latency target. It returns
+// false if the target or the usual time is unknown.
+func (p *Postponer) LatestReturn(name string, target time.Duration) (delay time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.routes[name]
+	if r == nil || r.latency == 0 || target == 0 {
+		return 0, false
+	}
+	return target - r.usualTime(), true
+}
+
 // LostFraction returns the fraction of a route's requests that are lost to rejected
 // calls, as servers have recently reported.
 func (p *Postponer) LostFraction(name string) float64 {
@@ -180,6 +195,11 @@
 	return left < time.Duration(returnedFraction*float64(r.stated))
 }
 
+// usualTime returns the time to allow for an answer.
+func (r *route) usualTime() time.Duration {
+	return time.Duration(latencyFactor * r.latency * float64(time.Second))
+}
+
 func (r *route) lostFraction(now time.Time) float64 {
 	sum, total := 0.0, 0.0
 	for server, rep := range r.reports {
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -62,6 +62,11 @@
 func (refused) outcome()  {}
 func (unknown) outcome()  {}
 
+// withoutJitter returns the retry delay that is at most longest with jitter.
+func withoutJitter(longest time.Duration) time.Duration {
+	return time.Duration(float64(longest) / (1 + retryAfterJitter))
+}
+
 // brokenOff returns an outcome with the reason that the node stops, if the request was
 // cancelled for that reason.
 func brokenOff(o outcome) outcome {
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -70,8 +70,10 @@
 	callQueueWaitDivisor = 2
 	// throttledRetryAfter is the retry delay of a throttled request: long
 	// enough for the estimated excess to change, and short enough to meet the
-	// caller's deadline.
-	throttledRetryAfter = 600 * time.Millisecond
+	// caller's deadline. It is shorter, but at least minThrottledRetryAfter, if an answer
+	// would otherwise miss the route's latency target.
+	throttledRetryAfter    = 600 * time.Millisecond
+	minThrottledRetryAfter = 100 * time.Millisecond
 	// minCallsPerRun is the estimated number of calls for each request below
 	// which a route is assumed not to make the call.
 	minCallsPerRun = 0.15
@@ -275,10 +277,19 @@
 		reason: reasonThrottled,
 		detail: fmt.Sprintf("pool %s is the bottleneck with an excess of %.2f (newest report: server %s, %d ms ago); rejecting a fraction of %.2f of the requests of rank %d",
 			overload.Bottleneck, overload.Excess, overload.Reporter, overload.Age.Milliseconds(), fraction, rq.rank),
-		retryAfter: throttledRetryAfter,
+		retryAfter: p.throttledRetryAfter(rq.route),
 	}
 }
 
+// throttledRetryAfter returns the retry delay of a throttled request.
+func (p *Proxier) throttledRetryAfter(r *resolver.Route) time.Duration {
+	latest, ok := p.Postponer.LatestReturn(r.Name, r.TargetLatency)
+	if !ok {
+		return throttledRetryAfter
+	}
+	return max(minThrottledRetryAfter, min(throttledRetryAfter, withoutJitter(latest)))
+}
+
 // postpone refuses a caller's request that would probably be lost to rejected
 // calls, if its caller can still be served on time after it has returned.
 func (p *Proxier) postpone(rq *request) outcome {
@@ -297,7 +308,7 @@
 	return refused{
 		reason:     reasonPostponed,
 		detail:     fmt.Sprintf("a fraction of %.2f of these requests is lost to rejected calls; the caller can be back in %d ms", p.Postponer.LostFraction(rq.route.Name), delay.Milliseconds()),
-		retryAfter: time.Duration(float64(delay) / (1 + retryAfterJitter)), // delay is the longest with jitter
+		retryAfter: withoutJitter(delay),
 	}
 }
 
