Calls have the rank of their call tree

The node of the calling server gives a call the rank of the runs that make such calls; calls still precede callers of the same rank, and keep the reserve of slots. Calls whose tree is not known, and those of older nodes, go first as before.

--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -79,6 +79,7 @@
 	// A Request holds the properties that determine the order of admission.
 	Request struct {
 		Class        checker.Class
+		Call         bool // precedes callers' requests of the same class
 		Organisation string
 		Weight       float64 // the organisation's rate; 0 counts as 1
 		Deadline     time.Time
@@ -206,11 +207,11 @@
 	if a.willMissDeadline(r, now) {
 		return nil, &ShedError{Cause: DeadlineExceeded}
 	}
-	if r.Class == checker.ClassCritical {
+	if r.Class == checker.ClassCritical && !r.Call {
 		a.lastCritical = now
 	}
 	a.removeIdle(now)
-	if len(a.waiters) == 0 && a.hasFreeSlot(r.Class, now) && a.pacer.untilToken(now, 1) == 0 {
+	if len(a.waiters) == 0 && a.hasFreeSlot(r, now) && a.pacer.untilToken(now, 1) == 0 {
 		a.admit(r, now)
 		return nil, nil
 	}
@@ -247,7 +248,7 @@
 func (a *Admitter) maxWait(r Request) time.Duration {
 	left := time.Until(r.Deadline)
 	if r.MaxWait > 0 {
-		if a.pacer.limited && r.Class == checker.ClassCritical {
+		if a.pacer.limited && r.Class == checker.ClassCritical && !r.Call {
 			return min(criticalPacedWaitFactor*r.MaxWait, left)
 		}
 		return min(r.MaxWait, left)
@@ -297,12 +298,11 @@
 	a.admitWaiting()
 }
 
-// hasFreeSlot reports whether a request of the class may start. Part of the
-// limit is reserved for the critical class for idleTimeout after each arrival of
-// that class.
-func (a *Admitter) hasFreeSlot(class checker.Class, now time.Time) bool {
+// hasFreeSlot reports whether a request may start. Part of the limit is reserved for
+// calls and the critical class for idleTimeout after each arrival of that class.
+func (a *Admitter) hasFreeSlot(r Request, now time.Time) bool {
 	limit := a.limit
-	if class < checker.ClassCritical && !a.lastCritical.IsZero() && now.Sub(a.lastCritical) < idleTimeout {
+	if r.Class < checker.ClassCritical && !r.Call && !a.lastCritical.IsZero() && now.Sub(a.lastCritical) < idleTimeout {
 		limit -= int(float64(a.limit) * criticalReserve)
 	}
 	return a.inFlight < limit
--- a/apricotd/internal/process/admitter/queue.go
+++ b/apricotd/internal/process/admitter/queue.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	least := a.lowestPriority(now)
-	if a.waiters[least].Class >= w.Class && len(a.waiters) < queueFactor(w.Class)*max(a.limit, 1) {
+	if a.waiters[least].Class >= w.Class && len(a.waiters) < queueFactor(w.Request)*max(a.limit, 1) {
 		a.waiters = append(a.waiters, w)
 		return nil
 	}
@@ -30,13 +30,12 @@
 	return nil
 }
 
-// queueFactor returns the queue capacity for a class as a multiple of the
-// limit.
-func queueFactor(c checker.Class) int {
+// queueFactor returns the queue capacity for a request as a multiple of the limit.
+func queueFactor(r Request) int {
 	switch {
-	case c > checker.ClassCritical:
+	case r.Class > checker.ClassCritical || r.Call:
 		return aboveCriticalQueueFactor
-	case c == checker.ClassCritical:
+	case r.Class == checker.ClassCritical:
 		return criticalQueueFactor
 	}
 	return 1
@@ -53,7 +52,7 @@
 			w.result <- &ShedError{Cause: DeadlineExceeded}
 			continue
 		}
-		if !a.hasFreeSlot(w.Class, now) {
+		if !a.hasFreeSlot(w.Request, now) {
 			return
 		}
 		if wait := a.pacer.untilToken(now, 1); wait > 0 {
@@ -111,7 +110,7 @@
 	return worst
 }
 
-// precedes reports whether x has a higher priority than y: by class, preference,
+// precedes reports whether x has a higher priority than y: by class, calls first, preference,
 // finish tag of the organisation and arrival, the oldest first. Once the queue
 // has been non-empty for longer than the queue wait, the newest goes first
 // (LIFO), because the oldest are about to time out anyway.
@@ -119,6 +118,9 @@
 	if x.Class != y.Class {
 		return x.Class > y.Class
 	}
+	if x.Call != y.Call {
+		return x.Call
+	}
 	if x.Preference != y.Preference {
 		return x.Preference < y.Preference
 	}
--- a/apricotd/internal/request/invoker/identity_test.go
+++ b/apricotd/internal/request/invoker/identity_test.go
@@ -26,6 +26,7 @@
 	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/wire/linkwire"
@@ -176,7 +177,7 @@
 	i := &Invoker{
 		Names: names, Exchanger: e, Admitter: &admitter.Admitter{}, Identifier: id,
 		Estimator: &estimator.Estimator{Load: func() estimator.Load { return estimator.Load{} }},
-		Tuner:     &tuner.Tuner{}, Correlator: &correlator.Correlator{}, Quarantine: &quarantiner.Quarantiner{}, Forecaster: &forecaster.Forecaster{},
+		Tuner:     &tuner.Tuner{}, Correlator: &correlator.Correlator{}, Quarantine: &quarantiner.Quarantiner{}, Forecaster: &forecaster.Forecaster{}, Ranker: &ranker.Ranker{},
 		Noticer: &noticer.Noticer{Names: names, Log: log}, Log: log, Metrics: metrics.NewSet(), OnBroken: func() {}, OnNewServer: func() {},
 		Downstream: func(string) throttler.Overload { return throttler.Overload{} },
 	}
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -11,9 +11,10 @@
 //
 //	result := i.Run(ctx, run)
 //
-// The admitter in front of the server orders requests by class. Calls of
-// backend servers have the highest class, since work has already been done for
-// them.
+// The admitter in front of the server orders requests by class, which is the rank of
+// the caller's request. Calls of backend servers precede callers' requests of the same
+// rank, since work has already been done for them. A call whose tree is not known
+// has the highest class.
 package invoker
 
 import (
@@ -44,6 +45,7 @@
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/checker"
 	"apricotrudder.dev/apricotd/version/lister"
@@ -99,6 +101,7 @@
 	Estimator  *estimator.Estimator
 	Tuner      *tuner.Tuner
 	Correlator *correlator.Correlator
+	Ranker     *ranker.Ranker
 	Forecaster *forecaster.Forecaster
 	Quarantine *quarantiner.Quarantiner
 	Noticer    *noticer.Noticer
@@ -217,6 +220,7 @@
 	i.waiting.Add(1)
 	release, err := i.Admitter.Enter(ctx, admitter.Request{
 		Class:        classOf(run),
+		Call:         run.Call,
 		Organisation: run.Organisation,
 		Weight:       run.Weight,
 		Deadline:     deadline,
@@ -238,6 +242,7 @@
 	start := time.Now()
 	running, _ := i.Admitter.Load()
 	defer i.Correlator.Begin(run.Route)()
+	defer i.Ranker.Begin(run.Route, int(run.Rank))()
 	endForecast := i.Forecaster.Begin(run.Route)
 	result = i.invoke(ctx, run, deadline)
 	answered = result.GetAnswer() != nil
@@ -446,7 +451,7 @@
 }
 
 func classOf(run *linkwire.Run) checker.Class {
-	if run.Call {
+	if run.Call && !run.TreeRanked {
 		return classCall
 	}
 	return checker.ClassCritical - checker.Class(min(run.Rank, uint32(checker.ClassCritical)))
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -150,6 +150,7 @@
 		Rank:        converter.Uint32(rq.rank),
 		Idempotent:  rq.route.Idempotent,
 		Call:        rq.isCall,
+		TreeRanked:  rq.hasTreeRank,
 		PatienceMs:  converter.Uint32(rq.maxQueueWait(left).Milliseconds()),
 		Route:       rq.route.Name,
 		Preference:  converter.Uint32(rq.preference),
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -42,6 +42,7 @@
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/postponer"
+	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -118,6 +119,8 @@
 		// Correlator estimates which calls the own backend server makes for each
 		// route.
 		Correlator *correlator.Correlator
+		// Ranker determines the rank of the own backend server's calls.
+		Ranker *ranker.Ranker
 		// Forecaster learns of the calls of the own backend server that are rejected.
 		Forecaster *forecaster.Forecaster
 		// Postponer refuses callers' requests that would probably be lost to rejected
@@ -148,6 +151,7 @@
 		deadline          time.Time
 		fields            []*linkwire.Field
 		isCall            bool
+		hasTreeRank       bool    // whether the rank of a call is that of its call tree
 		repeatProbability float64 // probability that the first attempt repeats an earlier run
 		arrivals          int     // backend servers that it has reached, or may have reached
 		tries             int     // servers tried
@@ -265,6 +269,9 @@
 func (p *Proxier) throttle(rq *request) outcome {
 	if rq.isCall {
 		p.Correlator.RecordCall(rq.route.Name)
+		if rank, ok := p.Ranker.Rank(rq.route.Name); ok {
+			rq.rank, rq.hasTreeRank = rank, true
+		}
 		rq.throttledFraction = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
 		return nil
 	}
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -56,6 +56,7 @@
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
+	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/syncer"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -156,6 +157,7 @@
 	policer       *policer.Policer
 	estimator     *estimator.Estimator
 	correlator    *correlator.Correlator
+	ranker        *ranker.Ranker
 	forecaster    *forecaster.Forecaster
 	memory        *reserver.Reserver // the account of what requests occupy
 	quarantine    *quarantiner.Quarantiner
@@ -281,6 +283,7 @@
 	}
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
+	n.ranker = &ranker.Ranker{Calls: n.correlator.Calls}
 	n.forecaster = &forecaster.Forecaster{}
 	n.quarantine = &quarantiner.Quarantiner{}
 	admission := &admitter.Admitter{}
@@ -299,6 +302,7 @@
 		Estimator:   n.estimator,
 		Tuner:       &tuner.Tuner{},
 		Correlator:  n.correlator,
+		Ranker:      n.ranker,
 		Forecaster:  n.forecaster,
 		Quarantine:  n.quarantine,
 		Noticer:     n.noticer,
@@ -403,6 +407,7 @@
 		Quarantine:  n.quarantine,
 		Throttler:   &throttler.Throttler{},
 		Correlator:  n.correlator,
+		Ranker:      n.ranker,
 		Forecaster:  n.forecaster,
 		Postponer:   &postponer.Postponer{},
 		StateAge:    n.syncer.StateAge,
