--- a/apricotd/internal/request/postponer/postponer_test.go
+++ b/apricotd/internal/request/postponer/postponer_test.go
@@ -254,3 +254,56 @@
 		}
 	})
 }
+
+// The load: payments with a latency target of 0.5 s and a time of 2 s are throttled by
+// 0.6 for some seconds. Callers return once, within a third of their time. The baseline
+// tells all to return after 0.6 s to 0.9 s, naive at once, when the same fraction is still
+// rejected because nothing has changed. The optimum would have room for as many on
+// time as come through on either try.
+func TestThrottledCallersReturnOnTime(t *testing.T) {
+	const (
+		budget   = 2 * time.Second
+		target   = 500 * time.Millisecond
+		usual    = 130 * time.Millisecond
+		throttle = 0.6
+		change   = 100 * time.Millisecond // until the fraction is drawn anew
+		n        = 20000
+	)
+	synctest.Test(t, func(t *testing.T) {
+		p := &Postponer{}
+		if _, ok := p.LatestReturn("payment", target); ok {
+			t.Error("return of an unknown route is known")
+		}
+		p.ObserveAnswer("payment", usual)
+		latest, ok := p.LatestReturn("payment", target)
+		if !ok || latest > target-usual || latest < change {
+			t.Fatalf("latest return: got %v, %v, want a time that leaves %v before %v", latest, ok, usual, target)
+		}
+		random := rand.New(rand.NewPCG(3, 4))
+		play := func(longest time.Duration) (onTime, late float64) {
+			for range n {
+				if random.Float64() >= throttle {
+					onTime++
+					continue
+				}
+				delay := min(longest*2/3+time.Duration(random.Float64()*float64(longest/3)), budget/3)
+				switch {
+				case delay < change || random.Float64() < throttle:
+				case delay+usual <= target:
+					onTime++
+				default:
+					late++
+				}
+			}
+			return onTime / n, late / n
+		}
+		baseline, baselineLate := play(900 * time.Millisecond)
+		naive, naiveLate := play(0)
+		now, nowLate := play(latest)
+		optimum := 1 - throttle*throttle
+		t.Logf("on time, late: baseline %.3f, %.3f; naive %.3f, %.3f; now %.3f, %.3f; optimum %.3f", baseline, baselineLate, naive, naiveLate, now, nowLate, optimum)
+		if now < 0.95*optimum || now <= baseline || now <= naive {
+			t.Errorf("served on time: got %.3f, want more than %.3f and %.3f, and 95 %% of %.3f", now, baseline, naive, optimum)
+		}
+	})
+}
