--- a/apricotd/internal/request/postponer/postponer.go
+++ b/apricotd/internal/request/postponer/postponer.go
@@ -8,10 +8,10 @@
 // but the wait: the caller returns once, and if the pool has recovered by then, it
 // is still served on time.
 //
-// It is guaranteed that only the first attempt of a caller is postponed, and only
-// if it can be back so early that an answer after the usual time still meets the
-// route's latency target. A caller that returns is let in, so none is refused twice
-// for this reason, and the returning ones show when the pool has recovered.
+// It is guaranteed that a caller is postponed only if it can be back so early that
+// an answer after the usual time still meets the route's latency target. A request
+// that comes again is let in, so this node refuses none twice for this reason, and the
+// returning ones show when the pool has recovered.
 //
 // # Usage
 //
@@ -23,10 +23,13 @@
 // For callers that are refused for other reasons, LatestReturn says how long they may
 // be told to wait.
 //
-// A decision iterates over the servers that have recently reported on the route.
+// A decision iterates over the servers that have recently reported on the route. Memory
+// use is one entry for each postponed caller until some time after it is due, at most
+// maxReturning entries.
 package postponer
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -51,13 +54,17 @@
 	// maxLeftFraction is the fraction of the time left for which callers wait at
 	// most.
 	maxLeftFraction = 1.0 / 3
-	// returnedFraction is the fraction of the time that callers of a route state at
-	// first below which a caller is taken to have returned. minDelayFraction is the
-	// least delay as a fraction of that time; a shorter one could not be told apart.
-	returnedFraction = 0.95
-	minDelayFraction = 0.1
-	// statedWindow is how long the longest time stated by a caller counts.
-	statedWindow = 10 * time.Second
+	// minDelay is the least delay. After a shorter one hardly anything has changed.
+	minDelay = 200 * time.Millisecond
+	// A postponed request is let in for returnFactor times its delay. No more than
+	// maxReturning are expected at once; sweepInterval is the time between searches for
+	// those that need not be expected any longer.
+	returnFactor  = 2
+	maxReturning  = 1 << 14
+	sweepInterval = time.Second
+	// idleTime is the time without a report or an answer after which a route may be
+	// evicted.
+	idleTime = 10 * time.Second
 	// evictionThreshold is the number of stored routes at which idle ones, such as
 	// those of past versions of the tables, are evicted.
 	evictionThreshold = 1024
@@ -67,8 +74,10 @@
 	// A Postponer holds what this node knows of each route. The zero value is ready
 	// to use.
 	Postponer struct {
-		mu     sync.Mutex
-		routes map[string]*route
+		mu        sync.Mutex
+		routes    map[string]*route
+		returning map[uint64]time.Time // until when a request is let in, by fingerprint
+		nextSweep time.Time
 	}
 
 	// A Request holds the properties of a caller's request on which the decision
@@ -80,13 +89,15 @@
 		Left time.Duration
 		// Target is the route's latency target.
 		Target time.Duration
+		// Fingerprint returns the same value for a request that comes again. It is
+		// called only while requests are postponed.
+		Fingerprint func() uint64
 	}
 
 	route struct {
-		reports  map[string]report // by server
-		latency  float64           // mean, seconds
-		stated   time.Duration     // longest time stated by a caller
-		statedAt time.Time
+		reports   map[string]report // by server
+		latency   float64           // mean, seconds
+		updatedAt time.Time
 	}
 
 	report struct {
@@ -122,13 +133,32 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	r := p.route(rq.Route)
-	hasReturned := r.observeStated(rq.Left, now)
-	if hasReturned || rq.Target == 0 || r.lostFraction(now) < threshold(rq.Idempotent) {
+	r := p.routes[rq.Route]
+	if r == nil || rq.Target == 0 || r.lostFraction(now) < threshold(rq.Idempotent) {
 		return 0, false
 	}
 	delay = min(rq.Target-r.usualTime(), time.Duration(maxLeftFraction*float64(rq.Left)))
-	return delay, delay >= time.Duration(minDelayFraction*float64(r.stated))
+	if delay < minDelay || p.admitReturn(rq.Fingerprint(), now.Add(returnFactor*delay), now) {
+		return 0, false
+	}
+	return delay, true
+}
+
+// admitReturn reports whether a request has been postponed before, or an equal one, or
+// no further one can be. Otherwise it is let in from now on until a time.
+func (p *Postponer) admitReturn(fingerprint uint64, until, now time.Time) bool {
+	if !now.Before(p.nextSweep) {
+		p.nextSweep = now.Add(sweepInterval)
+		maps.DeleteFunc(p.returning, func(_ uint64, until time.Time) bool { return now.After(until) })
+	}
+	if now.Before(p.returning[fingerprint]) || len(p.returning) >= maxReturning {
+		return true
+	}
+	if p.returning == nil {
+		p.returning = make(map[uint64]time.Time)
+	}
+	p.returning[fingerprint] = until
+	return false
 }
 
 // LatestReturn returns after what time a refused caller must be back at the latest so
@@ -162,6 +192,7 @@
 	return maxLost
 }
 
+// route returns the record of a route that is about to be updated.
 func (p *Postponer) route(name string) *route {
 	if p.routes == nil {
 		p.routes = make(map[string]*route)
@@ -174,25 +205,13 @@
 		r = &route{reports: make(map[string]report)}
 		p.routes[name] = r
 	}
+	r.updatedAt = time.Now()
 	return r
 }
 
-// evictIdle drops the routes without a recent request.
+// evictIdle drops the routes without a recent report or answer.
 func (p *Postponer) evictIdle(now time.Time) {
-	for name, r := range p.routes {
-		if now.Sub(r.statedAt) > statedWindow {
-			delete(p.routes, name)
-		}
-	}
-}
-
-// observeStated records the time that a caller states and reports whether it has
-// been here before: it has less time left than others of the route.
-func (r *route) observeStated(left time.Duration, now time.Time) (hasReturned bool) {
-	if left >= r.stated || now.Sub(r.statedAt) > statedWindow {
-		r.stated, r.statedAt = left, now
-	}
-	return left < time.Duration(returnedFraction*float64(r.stated))
+	maps.DeleteFunc(p.routes, func(_ string, r *route) bool { return now.Sub(r.updatedAt) > idleTime })
 }
 
 // usualTime returns the time to allow for an answer.
--- a/apricotd/internal/request/postponer/postponer_test.go
+++ b/apricotd/internal/request/postponer/postponer_test.go
@@ -34,7 +34,7 @@
 	}
 
 	// A policy returns after what time the caller should come back, or 0.
-	policy func(c class, left, now time.Duration) time.Duration
+	policy func(c class, fingerprint uint64, left, now time.Duration) time.Duration
 
 	// A chain is a model of call trees that end at one pool. Every server of the pool
 	// rejects the same fraction of calls for some seconds, whatever its load.
@@ -80,6 +80,7 @@
 		sentAt, due time.Duration
 		second      bool
 		by          int // organisation
+		fingerprint uint64
 	}
 	const step = time.Second / rate
 	var earned, owed [duration]float64
@@ -90,7 +91,7 @@
 	try := func(a attempt) {
 		now := time.Since(m.start)
 		var due time.Duration
-		if delay := decide(a.class, patience-(now-a.sentAt), now); delay > 0 {
+		if delay := decide(a.class, a.fingerprint, patience-(now-a.sentAt), now); delay > 0 {
 			due = now + delay
 		} else if m.run(a.class) {
 			if now-a.sentAt+treeTime <= target {
@@ -107,7 +108,7 @@
 			due = now
 		}
 		if !a.second {
-			returning = append(returning, attempt{a.class, a.sentAt, due, true, a.by})
+			returning = append(returning, attempt{a.class, a.sentAt, due, true, a.by, a.fingerprint})
 		}
 	}
 	for i, now := 0, time.Duration(0); now < (duration+3)*time.Second; i, now = i+1, now+step {
@@ -123,7 +124,7 @@
 		if now < duration*time.Second {
 			for _, c := range classes {
 				owed[now/time.Second] += c.worth
-				try(attempt{class: c, sentAt: now, by: i % organisations})
+				try(attempt{class: c, sentAt: now, by: i % organisations, fingerprint: m.random.Uint64()})
 			}
 		}
 		time.Sleep(step)
@@ -163,10 +164,10 @@
 	}
 	const longest = target - treeTime
 	baseline := play(func(*chain) policy {
-		return func(class, time.Duration, time.Duration) time.Duration { return 0 }
+		return func(class, uint64, time.Duration, time.Duration) time.Duration { return 0 }
 	})
 	naive := play(func(m *chain) policy {
-		return func(c class, _, _ time.Duration) time.Duration {
+		return func(c class, _ uint64, _, _ time.Duration) time.Duration {
 			if m.postponer.LostFraction(c.name) > maxLost {
 				return 200 * time.Millisecond
 			}
@@ -174,8 +175,8 @@
 		}
 	})
 	postponed := play(func(m *chain) policy {
-		return func(c class, left, _ time.Duration) time.Duration {
-			delay, ok := m.postponer.Delay(Request{Route: c.name, Idempotent: c.idempotent, Left: left, Target: target})
+		return func(c class, fingerprint uint64, left, _ time.Duration) time.Duration {
+			delay, ok := m.postponer.Delay(Request{Route: c.name, Idempotent: c.idempotent, Left: left, Target: target, Fingerprint: func() uint64 { return fingerprint }})
 			if !ok {
 				return 0
 			}
@@ -183,7 +184,7 @@
 		}
 	})
 	optimum := play(func(*chain) policy {
-		return func(_ class, left, now time.Duration) time.Duration {
+		return func(_ class, _ uint64, left, now time.Duration) time.Duration {
 			if now >= rejectFrom && now < rejectUntil && left == patience && now+longest >= rejectUntil {
 				return longest
 			}
@@ -216,7 +217,8 @@
 func TestPostponesOnceAndOnTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &Postponer{}
-		first := Request{Route: "order", Left: patience, Target: target}
+		of := func(fingerprint uint64) func() uint64 { return func() uint64 { return fingerprint } }
+		first := Request{Route: "order", Left: patience, Target: target, Fingerprint: of(1)}
 		p.ObserveAnswer("order", 300*time.Millisecond)
 		if _, ok := p.Delay(first); ok {
 			t.Error("postponed although nothing is lost")
@@ -230,10 +232,11 @@
 			name string
 			rq   Request
 		}{
-			{"a caller that has returned", Request{Route: "order", Left: patience - delay*2/3, Target: target}},
-			{"a target that leaves no time", Request{Route: "order", Left: patience, Target: 500 * time.Millisecond}},
-			{"an idempotent request that may be repeated at once", Request{Route: "order", Idempotent: true, Left: patience, Target: target}},
-			{"a route without a target", Request{Route: "order", Left: patience}},
+			{"a caller that has returned", first},
+			{"a target that leaves no time", Request{Route: "order", Left: patience, Target: 500 * time.Millisecond, Fingerprint: of(2)}},
+			{"a caller with little time", Request{Route: "order", Left: 500 * time.Millisecond, Target: target, Fingerprint: of(3)}},
+			{"an idempotent request that may be repeated at once", Request{Route: "order", Idempotent: true, Left: patience, Target: target, Fingerprint: of(4)}},
+			{"a route without a target", Request{Route: "order", Left: patience, Fingerprint: of(5)}},
 		} {
 			p.Observe("order", "s", 0.8)
 			if _, ok := p.Delay(c.rq); ok {
@@ -244,6 +247,7 @@
 		for i := range 5 {
 			p.Observe("order", fmt.Sprint(i), 0)
 		}
+		first.Fingerprint = of(6)
 		if _, ok := p.Delay(first); ok {
 			t.Error("postponed although most servers lose nothing")
 		}
@@ -252,6 +256,18 @@
 		if _, ok := p.Delay(first); ok {
 			t.Error("postponed by expired reports")
 		}
+		// Callers who never return must not use up memory.
+		for i := range uint64(3 * maxReturning) {
+			if i%100 == 0 {
+				p.Observe("order", "s", 1)
+				time.Sleep(20 * time.Millisecond)
+			}
+			first.Fingerprint = of(100 + i)
+			p.Delay(first)
+		}
+		if got := len(p.returning); got > maxReturning {
+			t.Errorf("expected requests: got %d, want at most %d", got, maxReturning)
+		}
 	})
 }
 
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -308,6 +308,9 @@
 		Idempotent: rq.route.Idempotent,
 		Left:       rq.stated,
 		Target:     rq.route.TargetLatency,
+		Fingerprint: func() uint64 {
+			return quarantiner.Fingerprint(rq.Method, rq.Host, rq.Target, rq.Body)
+		},
 	})
 	if !ok {
 		return nil
