--- a/apricotd/internal/request/postponer/postponer.go
+++ b/apricotd/internal/request/postponer/postponer.go
@@ -47,6 +47,7 @@
 	// expireAfter is the age at which a report is dropped. It exceeds the longest
 	// delay, so that the estimate lasts until the first callers have returned.
 	expireAfter = 3 * time.Second
+	maxDelay    = 2 * time.Second
 	// latencySmoothing is the weight of one answer in the mean latency.
 	latencySmoothing = 0.1
 	// latencyFactor times the mean latency is the time to allow for an answer.
@@ -137,7 +138,7 @@
 	if r == nil || rq.Target == 0 || r.lostFraction(now) < threshold(rq.Idempotent) {
 		return 0, false
 	}
-	delay = min(rq.Target-r.usualTime(), time.Duration(maxLeftFraction*float64(rq.Left)))
+	delay = min(maxDelay, rq.Target-r.usualTime(), time.Duration(maxLeftFraction*float64(rq.Left)))
 	if delay < minDelay || p.admitReturn(rq.Fingerprint(), now.Add(returnFactor*delay), now) {
 		return 0, false
 	}
