--- a/apricotd/internal/request/postponer/postponer.go
+++ b/apricotd/internal/request/postponer/postponer.go
@@ -13,11 +13,16 @@
 // that comes again is let in, so this node refuses none twice for this reason, and the
 // returning ones show when the pool has recovered.
 //
+// Those who return after the recovery come on top of the usual callers. So no
+// larger fraction is postponed than the call tree had spare capacity for before the
+// rejections began; else they would overload it, be refused again and be lost.
+//
 // # Usage
 //
 //	p := &postponer.Postponer{}
 //	p.Observe("order", serverID, lostFraction) // with each result
 //	p.ObserveAnswer("order", took)             // with each success
+//	p.ObserveExcess("order", excess)           // with each caller's request
 //	if delay, ok := p.Delay(postponer.Request{...}); ok { ... } // refuse, Retry-After: delay
 //
 // For callers that are refused for other reasons, LatestReturn says how long they may
@@ -30,6 +35,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -55,6 +61,10 @@
 	// maxLeftFraction is the fraction of the time left for which callers wait at
 	// most.
 	maxLeftFraction = 1.0 / 3
+	// spareHalfLife is the half-life of the spare capacity in the moving average. It is
+	// not updated from maxLostUsual on, because lost runs leave capacity unused.
+	spareHalfLife = 3 * time.Second
+	maxLostUsual  = 0.05
 	// minDelay is the least delay. After a shorter one hardly anything has changed.
 	minDelay = 200 * time.Millisecond
 	// A postponed request is let in for returnFactor times its delay. No more than
@@ -98,6 +108,8 @@
 	route struct {
 		reports   map[string]report // by server
 		latency   float64           // mean, seconds
+		spare     float64           // moving average of the spare capacity as a fraction of the demand
+		spareAt   time.Time
 		updatedAt time.Time
 	}
 
@@ -128,6 +140,19 @@
 	r.latency += (took.Seconds() - r.latency) * latencySmoothing
 }
 
+// ObserveExcess records the fraction of the demand on the most overloaded pool of a
+// route's call trees that exceeds its capacity; it is negative if there is spare capacity.
+func (p *Postponer) ObserveExcess(name string, excess float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, now := p.route(name), time.Now()
+	if r.lostFraction(now) >= maxLostUsual {
+		return
+	}
+	old := decayer.Factor(now.Sub(r.spareAt), spareHalfLife)
+	r.spare, r.spareAt = old*r.spare+(1-old)*min(1, -excess), now
+}
+
 // Delay returns after what time a caller should come back, if its request is
 // better not run now.
 func (p *Postponer) Delay(rq Request) (delay time.Duration, ok bool) {
@@ -139,7 +164,7 @@
 		return 0, false
 	}
 	delay = min(maxDelay, rq.Target-r.usualTime(), time.Duration(maxLeftFraction*float64(rq.Left)))
-	if delay < minDelay || p.admitReturn(rq.Fingerprint(), now.Add(returnFactor*delay), now) {
+	if delay < minDelay || rand.Float64() >= r.spare || p.admitReturn(rq.Fingerprint(), now.Add(returnFactor*delay), now) {
 		return 0, false
 	}
 	return delay, true
--- a/apricotd/internal/request/postponer/postponer_test.go
+++ b/apricotd/internal/request/postponer/postponer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -176,6 +177,7 @@
 	})
 	postponed := play(func(m *chain) policy {
 		return func(c class, fingerprint uint64, left, _ time.Duration) time.Duration {
+			m.postponer.ObserveExcess(c.name, -1)
 			delay, ok := m.postponer.Delay(Request{Route: c.name, Idempotent: c.idempotent, Left: left, Target: target, Fingerprint: func() uint64 { return fingerprint }})
 			if !ok {
 				return 0
@@ -220,6 +222,7 @@
 		of := func(fingerprint uint64) func() uint64 { return func() uint64 { return fingerprint } }
 		first := Request{Route: "order", Left: patience, Target: target, Fingerprint: of(1)}
 		p.ObserveAnswer("order", 300*time.Millisecond)
+		p.ObserveExcess("order", -2)
 		if _, ok := p.Delay(first); ok {
 			t.Error("postponed although nothing is lost")
 		}
@@ -323,3 +326,58 @@
 		}
 	})
 }
+
+// The load: as in TestChainWhilePoolRejects, but the pool has room for only a fifth more
+// than its usual demand. If more comes on top of that when the pool accepts calls again,
+// a tree of four calls is lost if one of them finds no room. Naive postpones all callers.
+func TestReturnsFitIntoSpareCapacity(t *testing.T) {
+	const (
+		perSecond = 1000 // one arrival a millisecond
+		spare     = 0.2
+		from, to  = 5, 13.0 // seconds in which all runs are lost
+		steps     = 20000
+		window    = 200 // milliseconds over which the pool averages its load
+	)
+	play := func(excess float64, postpone bool) (served float64) {
+		synctest.Test(t, func(*testing.T) {
+			p := &Postponer{}
+			p.ObserveAnswer("order", treeTime)
+			var due, runs [steps + 2000]int // by millisecond
+			recent := 0
+			for i := range steps {
+				lost := 0.0
+				if second := float64(i) / perSecond; second >= from && second < to {
+					lost = 1
+				}
+				p.Observe("order", "s", lost)
+				p.ObserveExcess("order", excess)
+				delay, ok := p.Delay(Request{Route: "order", Left: patience, Target: target, Fingerprint: func() uint64 { return uint64(i) }})
+				if ok && postpone {
+					delay -= time.Duration(rand.Float64() * float64(delay) / 3)
+					due[i+int(delay.Milliseconds())]++
+				} else {
+					due[i]++
+				}
+				runs[i] = due[i]
+				if recent += runs[i]; i >= window {
+					recent -= runs[i-window]
+				}
+				accepted := min(1, (1+spare)*window/float64(max(1, recent)))
+				served += float64(runs[i]) * (1 - lost) * math.Pow(accepted, 4)
+				time.Sleep(time.Millisecond)
+			}
+		})
+		return served
+	}
+	baseline, naive, now := play(-spare, false), play(-1, true), play(-spare, true)
+	// A fifth of the demand fits in for at most the latest return of a first attempt.
+	latest := target - time.Duration(latencyFactor*float64(treeTime))
+	optimum := baseline + spare*perSecond*latest.Seconds()
+	t.Logf("served: baseline %.0f, naive %.0f, now %.0f, optimum %.0f", baseline, naive, now, optimum)
+	if now <= naive {
+		t.Errorf("served: got %.0f, want more than the %.0f of postponing all", now, naive)
+	}
+	if got, want := now-baseline, (optimum-baseline)/2; got < want {
+		t.Errorf("gain: got %.0f, want at least half of the optimum's %.0f", got, optimum-baseline)
+	}
+}
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -276,6 +276,9 @@
 		return nil
 	}
 	fraction, overload := p.Throttler.ThrottleFraction(rq.route.Name, rq.rank)
+	if overload.Bottleneck != "" {
+		p.Postponer.ObserveExcess(rq.route.Name, overload.Excess)
+	}
 	rq.throttledFraction = fraction
 	if rand.Float64() >= fraction {
 		return nil
