--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -76,6 +76,7 @@
 	"keyUnknown":       "this node refused it, because its tables do not have the key",
 	"rateExceeded":     "the owner of the organisation's bucket refused it, because the organisation had used up its rate; no server was asked",
 	"throttled":        "this node refused it before it asked a server, because it believed that a pool which the request needs is overloaded",
+	"postponed":        "this node refused it before it asked a server, because most requests of the route are lost to rejected calls; its caller can return and still be served on time",
 	"noServer":         "this node refused it, because it knew no server of the pool that it could use",
 	"noHome":           "this node refused it, because its route and its organisation have no home region in common; no server was asked",
 	"noHomeServer":     "this node refused it, because no server in its home regions was usable; it is not sent elsewhere",
--- a/apricotd/internal/connection/linker/check.go
+++ b/apricotd/internal/connection/linker/check.go
@@ -24,11 +24,13 @@
 	switch kind := frame.Kind.(type) {
 	case *linkwire.Frame_Run:
 		r := kind.Run
-		valid = areFinite(r.Weight, r.Held, r.Repeat) && isValidNotice(r.Notice)
+		valid = areFinite(r.Weight, r.Held, r.Repeat, r.ExpectedMs) && isValidNotice(r.Notice)
 	case *linkwire.Frame_Result:
 		load := kind.Result.GetLoad()
 		valid = isValidOutcome(kind.Result) &&
 			areFinite(load.GetExcess(), load.GetDemand(), load.GetServiceMs(), load.GetRateUtilisation()) &&
+			areFinite(load.GetBacklogMs(), load.GetSlowdown(), float64(load.GetServiceRatio()), float64(kind.Result.GetServiceMs())) &&
+			load.GetLost() >= 0 && load.GetLost() <= 1 &&
 			isValidNotice(load.GetNotice())
 	case *linkwire.Frame_Beat:
 		valid = isValidNotice(kind.Beat.Notice)
--- a/apricotd/internal/connection/linker/linker_test.go
+++ b/apricotd/internal/connection/linker/linker_test.go
@@ -204,6 +204,12 @@
 	}
 }
 
+func resultWith(load *linkwire.Load) *linkwire.Frame {
+	return &linkwire.Frame{Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{
+		Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{Status: 200}}, Load: load,
+	}}}
+}
+
 // Guards against a malformed frame that takes the process down.
 func TestMalformedFramesCloseTheirLink(t *testing.T) {
 	nan := math.NaN()
@@ -217,7 +223,12 @@
 		"interim answer": {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{
 			Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{Status: 103}},
 		}}},
-		"result without one": {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{}}},
+		"result without one":   {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{}}},
+		"expected time of NaN": {Exchange: 1, Kind: &linkwire.Frame_Run{Run: &linkwire.Run{ExpectedMs: nan}}},
+		"lost runs of NaN":     resultWith(&linkwire.Load{Lost: nan}),
+		"too many lost runs":   resultWith(&linkwire.Load{Lost: 1.5}),
+		"backlog of NaN":       resultWith(&linkwire.Load{BacklogMs: nan}),
+		"infinite slowdown":    resultWith(&linkwire.Load{Slowdown: math.Inf(1)}),
 		"excess of NaN": {Exchange: 1, Kind: &linkwire.Frame_Result{Result: &linkwire.Result{
 			Outcome: &linkwire.Result_Answer{Answer: &linkwire.Answer{Status: 200}}, Load: &linkwire.Load{Excess: nan},
 		}}},
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -11,9 +11,10 @@
 //
 //	result := i.Run(ctx, run)
 //
-// The admitter in front of the server orders requests by class. Calls of
-// backend servers have the highest class, since work has already been done for
-// them.
+// The admitter in front of the server orders requests by class, which is the rank of
+// the caller's request. Calls of backend servers precede callers' requests of the same
+// rank, since work has already been done for them. A call whose tree is not known
+// has the highest class.
 package invoker
 
 import (
@@ -44,6 +45,8 @@
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
+	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/checker"
 	"apricotrudder.dev/apricotd/version/lister"
@@ -104,6 +107,8 @@
 	Estimator  *estimator.Estimator
 	Tuner      *tuner.Tuner
 	Correlator *correlator.Correlator
+	Ranker     *ranker.Ranker
+	Forecaster *forecaster.Forecaster
 	Quarantine *quarantiner.Quarantiner
 	Noticer    *noticer.Noticer
 	Gauger     *gauger.Gauger
@@ -218,9 +223,10 @@
 	deadline := time.Now().Add(time.Duration(run.RemainingMs) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	result := i.admit(ctx, run, deadline)
+	result, isLost := i.admit(ctx, run, deadline)
 	result.Load = i.Load()
 	overload := i.overload(run)
+	result.Load.Lost, result.Load.Rejected = i.Forecaster.LostFraction(run.Route), isLost
 	result.Load.Excess, result.Load.Bottleneck, result.Load.Demand = overload.Excess, overload.Bottleneck, i.Estimator.Demand()
 	return result
 }
@@ -235,18 +241,19 @@
 	return own
 }
 
-func (i *Invoker) admit(ctx context.Context, run *linkwire.Run, deadline time.Time) *linkwire.Result {
+func (i *Invoker) admit(ctx context.Context, run *linkwire.Run, deadline time.Time) (result *linkwire.Result, isLost bool) {
 	i.adoptNotice(run)
 	if _, refusal := i.check(run, deadline); refusal != nil {
-		return refusal
+		return refusal, false
 	}
 	if i.Quarantine.HasSuspects() && i.Quarantine.IsQuarantined(fingerprint(run)) {
-		return refusalResult(Quarantined, "backend servers crashed that ran it", QuarantineRetryAfter)
+		return refusalResult(Quarantined, "backend servers crashed that ran it", QuarantineRetryAfter), false
 	}
 	work := i.Gauger.Add(converter.Seconds(run.ExpectedMs / 1000))
 	i.waiting.Add(1)
 	release, err := i.Admitter.Enter(ctx, admitter.Request{
 		Class:        classOf(run),
+		Call:         run.Call,
 		Organisation: run.Organisation,
 		Weight:       run.Weight,
 		Deadline:     deadline,
@@ -256,7 +263,7 @@
 	i.waiting.Add(-1)
 	if err != nil {
 		work.End(false)
-		result := shedResult(err)
+		result = shedResult(err)
 		if result.GetRefusal().Reason == Overloaded {
 			i.Estimator.RecordRefused()
 			if i.IsCold() {
@@ -264,7 +271,7 @@
 				i.Metrics.GetOrCreateCounter("apricot_backend_cold_refusals_total").Inc()
 			}
 		}
-		return result
+		return result, false
 	}
 	i.Estimator.RecordAdmitted(run.Held)
 	i.recordRepeat(run.Repeat)
@@ -277,9 +284,12 @@
 	start := time.Now()
 	running, _ := i.Admitter.Load()
 	defer i.Correlator.Begin(run.Route)()
-	result := i.invoke(ctx, run, deadline)
+	defer i.Ranker.Begin(run.Route, int(run.Rank))()
+	endForecast := i.Forecaster.Begin(run.Route)
+	result = i.invoke(ctx, run, deadline)
 	answered = result.GetAnswer() != nil
 	if answered {
+		isLost = endForecast(result.GetAnswer().Status >= http.StatusInternalServerError)
 		took := time.Since(start)
 		if i.Gauger.Read().Slowdown > 0 {
 			result.ServiceMs = float32(milliseconds(took))
@@ -291,7 +301,7 @@
 			i.Quarantine.Clear(fingerprint(run))
 		}
 	}
-	return result
+	return result, isLost
 }
 
 // invoke sends the request. If the server rejects the id and states another
@@ -497,7 +507,7 @@
 }
 
 func classOf(run *linkwire.Run) checker.Class {
-	if run.Call {
+	if run.Call && !run.TreeRanked {
 		return classCall
 	}
 	return checker.ClassCritical - checker.Class(min(run.Rank, uint32(checker.ClassCritical)))
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -106,6 +106,10 @@
 	if load := result.GetLoad(); load != nil {
 		p.Notices.Record(address, load.Notice)
 		p.Throttler.Observe(rq.route.Name, c.Server.ID, p.reportedOverload(rq.pool, load))
+		rq.lost = load.Rejected || isRejected(result)
+		if !rq.isCall {
+			p.Postponer.Observe(rq.route.Name, c.Server.ID, load.Lost)
+		}
 	}
 	return o
 }
@@ -121,6 +125,13 @@
 	return o
 }
 
+// isRejected reports whether a server has rejected the request in spite of free
+// slots.
+func isRejected(result *linkwire.Result) bool {
+	load := result.GetLoad()
+	return result.GetRefusal().GetReason() == invoker.Shed && load.Running+load.Waiting < load.Slots
+}
+
 // coldLeft returns after what time the first servers of a pool become warm, if most of
 // those that are ready are cold, or else 0.
 func (p *Proxier) coldLeft(pool string) time.Duration {
@@ -174,6 +185,7 @@
 		Rank:        converter.Uint32(rq.rank),
 		Idempotent:  rq.route.Idempotent,
 		Call:        rq.isCall,
+		TreeRanked:  rq.hasTreeRank,
 		PatienceMs:  converter.Uint32(rq.maxQueueWait(left).Milliseconds()),
 		Route:       rq.route.Name,
 		Preference:  converter.Uint32(rq.preference),
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -39,7 +40,10 @@
 	"apricotrudder.dev/apricotd/internal/process/quarantiner"
 	"apricotrudder.dev/apricotd/internal/process/retrylimiter"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
+	"apricotrudder.dev/apricotd/internal/request/forecaster"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
+	"apricotrudder.dev/apricotd/internal/request/postponer"
+	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -68,8 +72,10 @@
 	callQueueWaitDivisor = 2
 	// throttledRetryAfter is the retry delay of a throttled request: long
 	// enough for the estimated excess to change, and short enough to meet the
-	// caller's deadline.
-	throttledRetryAfter = 600 * time.Millisecond
+	// caller's deadline. It is shorter, but at least minThrottledRetryAfter, if an answer
+	// would otherwise miss the route's latency target.
+	throttledRetryAfter    = 600 * time.Millisecond
+	minThrottledRetryAfter = 100 * time.Millisecond
 	// minCallsPerRun is the estimated number of calls for each request below
 	// which a route is assumed not to make the call.
 	minCallsPerRun = 0.15
@@ -116,6 +122,13 @@
 		Correlator *correlator.Correlator
 		// Appraiser estimates what requests cost.
 		Appraiser *appraiser.Appraiser
+		// Ranker determines the rank of the own backend server's calls.
+		Ranker *ranker.Ranker
+		// Forecaster learns of the calls of the own backend server that are rejected.
+		Forecaster *forecaster.Forecaster
+		// Postponer refuses callers' requests that would probably be lost to rejected
+		// calls.
+		Postponer *postponer.Postponer
 		// StateAge returns for how long the tables have been in force, and the time
 		// since the node last knew that it had all changes of the published state.
 		StateAge func() (tables, current time.Duration)
@@ -135,11 +148,13 @@
 		organisation      *resolver.Organisation
 		version           uint64
 		rank              int
-		preference        int     // order within the rank, by organisation
-		throttledFraction float64 // fraction of the requests of its route and rank that is throttled
+		preference        int           // order within the rank, by organisation
+		throttledFraction float64       // fraction of the requests of its route and rank that is throttled
+		stated            time.Duration // how long the caller will wait, as it states
 		deadline          time.Time
 		fields            []*linkwire.Field
 		isCall            bool
+		hasTreeRank       bool    // whether the rank of a call is that of its call tree
 		repeatProbability float64 // probability that the first attempt repeats an earlier run
 		arrivals          int     // backend servers that it has reached, or may have reached
 		tries             int     // servers tried
@@ -149,6 +164,7 @@
 		cost              appraiser.Estimate
 		prediction        picker.Prediction // of the last attempt
 		serviceTime       time.Duration     // of the last attempt; 0 if unknown
+		lost              bool              // whether the last attempt was lost to a rejection in spite of free slots
 	}
 )
 
@@ -182,6 +198,7 @@
 	o := p.admit(ctx, rq)
 	if o == nil {
 		o = p.run(ctx, rq)
+		p.observeOutcome(rq, o)
 	}
 	stopping := errors.Is(context.Cause(ctx), acceptor.ErrStopping)
 	if stopping {
@@ -233,6 +250,9 @@
 	if o := p.throttle(rq); o != nil {
 		return o
 	}
+	if o := p.postpone(rq); o != nil {
+		return o
+	}
 	rq.fields = p.forwardedFields(rq)
 	return p.takeRateToken(ctx, rq)
 }
@@ -260,10 +280,16 @@
 func (p *Proxier) throttle(rq *request) outcome {
 	if rq.isCall {
 		p.Correlator.RecordCall(rq.route.Name)
+		if rank, ok := p.Ranker.Rank(rq.route.Name); ok {
+			rq.rank, rq.hasTreeRank = rank, true
+		}
 		rq.throttledFraction = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
 		return nil
 	}
 	fraction, overload := p.Throttler.ThrottleFraction(rq.route.Name, rq.rank)
+	if overload.Bottleneck != "" {
+		p.Postponer.ObserveExcess(rq.route.Name, overload.Excess)
+	}
 	rq.throttledFraction = fraction
 	if rand.Float64() >= fraction {
 		return nil
@@ -276,7 +302,54 @@
 		reason: reasonThrottled,
 		detail: fmt.Sprintf("pool %s is the bottleneck%s with an excess of %.2f (newest report: server %s, %d ms ago); rejecting a fraction of %.2f of the requests of rank %d",
 			overload.Bottleneck, temperature, overload.Excess, overload.Reporter, overload.Age.Milliseconds(), fraction, rq.rank),
-		retryAfter: max(throttledRetryAfter, p.coldLeft(overload.Bottleneck)),
+		retryAfter: max(p.throttledRetryAfter(rq.route), p.coldLeft(overload.Bottleneck)),
+	}
+}
+
+// throttledRetryAfter returns the retry delay of a throttled request.
+func (p *Proxier) throttledRetryAfter(r *resolver.Route) time.Duration {
+	latest, ok := p.Postponer.LatestReturn(r.Name, r.TargetLatency)
+	if !ok {
+		return throttledRetryAfter
+	}
+	return max(minThrottledRetryAfter, min(throttledRetryAfter, withoutJitter(latest)))
+}
+
+// postpone refuses a caller's request that would probably be lost to rejected
+// calls, if its caller can still be served on time after it has returned.
+func (p *Proxier) postpone(rq *request) outcome {
+	if rq.isCall || rq.stated == 0 {
+		return nil
+	}
+	delay, ok := p.Postponer.Delay(postponer.Request{
+		Route:      rq.route.Name,
+		Idempotent: rq.route.Idempotent,
+		Left:       rq.stated,
+		Target:     rq.route.TargetLatency,
+		Fingerprint: func() uint64 {
+			return quarantiner.Fingerprint(rq.Method, rq.Host, rq.Target, rq.Body)
+		},
+	})
+	if !ok {
+		return nil
+	}
+	return refused{
+		reason:     reasonPostponed,
+		detail:     fmt.Sprintf("a fraction of %.2f of these requests is lost to rejected calls; the caller can be back in %d ms", p.Postponer.LostFraction(rq.route.Name), delay.Milliseconds()),
+		retryAfter: withoutJitter(delay),
+	}
+}
+
+// observeOutcome records the outcome of a request that was sent to servers: for a
+// call, whether it was rejected in spite of free slots, and for a caller's request,
+// how long a success took.
+func (p *Proxier) observeOutcome(rq *request, o outcome) {
+	answer, ok := o.(answered)
+	switch {
+	case rq.isCall && rq.lost:
+		p.Forecaster.RecordRejectedCall()
+	case !rq.isCall && ok && answer.Status < http.StatusMultipleChoices:
+		p.Postponer.ObserveAnswer(rq.route.Name, time.Since(rq.Received))
 	}
 }
 
@@ -322,8 +395,8 @@
 func (p *Proxier) deadline(rq *request) time.Time {
 	left := defaultTimeout
 	if ms, err := strconv.ParseInt(rq.Fields.Get(p.Names.RemainingTime), 10, 64); err == nil && ms >= 0 {
-		stated := time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
-		left = stated - min(callerMargin, stated/10)
+		rq.stated = time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+		left = rq.stated - min(callerMargin, rq.stated/10)
 	}
 	if rq.route.Timeout > 0 {
 		left = min(left, rq.route.Timeout)
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -55,8 +55,11 @@
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
+	"apricotrudder.dev/apricotd/internal/request/forecaster"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
+	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
+	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/mesher/internal/warmer"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/syncer"
@@ -164,6 +167,8 @@
 	policer       *policer.Policer
 	estimator     *estimator.Estimator
 	correlator    *correlator.Correlator
+	ranker        *ranker.Ranker
+	forecaster    *forecaster.Forecaster
 	memory        *reserver.Reserver // the account of what requests occupy
 	quarantine    *quarantiner.Quarantiner
 	noticer       *noticer.Noticer
@@ -291,6 +296,8 @@
 	}
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
+	n.ranker = &ranker.Ranker{Calls: n.correlator.Calls}
+	n.forecaster = &forecaster.Forecaster{}
 	n.quarantine = &quarantiner.Quarantiner{}
 	n.warmer = &warmer.Warmer{Overshoot: s.Backend.ColdOvershoot, Slack: s.Backend.ColdSlack, Log: n.Log}
 	admission := &admitter.Admitter{Gate: n.warmer}
@@ -322,6 +329,8 @@
 		Estimator:     n.estimator,
 		Tuner:         &tuner.Tuner{},
 		Correlator:    n.correlator,
+		Ranker:        n.ranker,
+		Forecaster:    n.forecaster,
 		Quarantine:    n.quarantine,
 		Noticer:       n.noticer,
 		Gauger:        n.gauger,
@@ -443,6 +452,9 @@
 		Throttler:   &throttler.Throttler{},
 		Correlator:  n.correlator,
 		Appraiser:   n.appraiser,
+		Ranker:      n.ranker,
+		Forecaster:  n.forecaster,
+		Postponer:   &postponer.Postponer{},
 		StateAge:    n.syncer.StateAge,
 		Log:         n.Log,
 		Metrics:     n.metrics,
