apricotctl where: where a request would go now, and why, without sending it

The node answers from its own state: the picker's candidates with their shares, the throttler's fraction without counting a request, homes, evacuations, lost call trees and the expected service time. TestWhereTellsWhatARequestWouldMeet compares it with where requests then go.

--- a/apricotctl/main.go
+++ b/apricotctl/main.go
@@ -8,6 +8,7 @@
 //	apricotctl status --node 10.0.0.7:7004 [--node ...] [--json]
 //	apricotctl audit --node 10.0.0.7:7004 [--count N] [--json]
 //	apricotctl follow --version 12 --node 10.0.0.7:7004 [--node ...]
+//	apricotctl where --node 10.0.0.7:9464 --host shop.example --target /search/x [--organisation NAME] [--call] [--json]
 //	apricotctl explain ID [LOG...]
 //	apricotctl certificates --out DIR VM...
 package main
@@ -26,6 +27,7 @@
 	Status       statusCommand       `command:"status" description:"show the status of nodes"`
 	Audit        auditCommand        `command:"audit" description:"show the nodes' audit trails"`
 	Follow       followCommand       `command:"follow" description:"wait until a version of the tables is in force on all nodes"`
+	Where        whereCommand        `command:"where" description:"show where a request would go now, and why, without sending it"`
 	Explain      explainCommand      `command:"explain" description:"show the history of one request from the logs of nodes"`
 	Certificates certificatesCommand `command:"certificates" description:"create a certificate authority and certificates for VMs"`
 }
--- a/apricotd/internal/cost/scorer/scorer.go
+++ b/apricotd/internal/cost/scorer/scorer.go
@@ -26,7 +26,9 @@
 package scorer
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/process/decayer"
@@ -219,6 +221,27 @@
 	return best
 }
 
+// Shares returns the part of the requests for which Draw returns each index.
+func Shares(scores []Score) []float64 {
+	out := make([]float64, len(scores))
+	if len(scores) == 0 {
+		return out
+	}
+	best := slices.MinFunc(scores, func(a, b Score) int { return cmp.Compare(a.Total(), b.Total()) })
+	add := func(part float64, explore bool) {
+		sum := 0.0
+		for i := range scores {
+			sum += weight(&scores[i], &best, explore)
+		}
+		for i := range scores {
+			out[i] += part * weight(&scores[i], &best, explore) / sum
+		}
+	}
+	add(1-exploreFraction, false)
+	add(exploreFraction, true)
+	return out
+}
+
 func weight(s, best *Score, explore bool) float64 {
 	if explore {
 		if s.Distance != best.Distance {
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -232,6 +232,16 @@
 	if p.ByCompletion && p.statesSlowdown(servers, now) {
 		return p.chooseByCompletion(servers, tried, rq, now)
 	}
+	s := p.leastUtilised(servers, tried, rq, now)
+	if s == nil {
+		return nil, false
+	}
+	return p.newChoice(s, rq, now), true
+}
+
+// leastUtilised returns the server for a request whose servers are compared by
+// utilisation, or nil if none is eligible.
+func (p *Picker) leastUtilised(servers []*lister.Server, tried map[string]bool, rq Request, now time.Time) *lister.Server {
 	var best [distanceLevels]*lister.Server
 	var lowest [distanceLevels]float64
 	for d := range lowest {
@@ -246,11 +256,7 @@
 			best[d], lowest[d] = s, u
 		}
 	}
-	s := pick(best, lowest, p.spilloverFor(best[distanceLevels-1], rq, now))
-	if s == nil {
-		return nil, false
-	}
-	return p.newChoice(s, rq, now), true
+	return pick(best, lowest, p.spilloverFor(best[distanceLevels-1], rq, now))
 }
 
 func (p *Picker) newChoice(s *lister.Server, rq Request, now time.Time) *Choice {
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -137,11 +137,25 @@
 	r.rank = rank
 	r.demand = r.decayedDemand(now) + 1
 	r.requestedAt = now
+	return t.fraction(name, rank, now)
+}
+
+// Fraction is ThrottleFraction for a request that is not sent and not counted.
+func (t *Throttler) Fraction(name string, rank int) (fraction float64, o Overload) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fraction(name, rank, time.Now())
+}
+
+func (t *Throttler) fraction(name string, rank int, now time.Time) (fraction float64, o Overload) {
 	o = t.estimate(name, now)
 	if o.Excess <= 0 {
 		return 0, o
 	}
 	below, same, above := t.demandByRank(o.Bottleneck, rank, now)
+	if same == 0 {
+		same = 1 // the request itself
+	}
 	return max(0, min(1, (o.Excess*(below+same+above)-below)/same)), o
 }
 
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -45,6 +45,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	r.Get("/v1/status", n.serveStatus)
+	r.Get("/v1/where", n.serveWhere)
 	return serve(ctx, listener, r)
 }
 
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -14,6 +14,8 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strconv"
 	"time"
 )
 
@@ -52,6 +54,72 @@
 		SinceMs int64 `json:"sinceMs"`
 	}
 
+	// A WhereQuery describes a request that is not sent.
+	WhereQuery struct {
+		Host   string
+		Target string // path and query
+		// Organisation is the name of the organisation whose request it is; empty for a
+		// request without a key. Keys are never sent to an operators' address.
+		Organisation string
+		// Call is true for a call of the node's own backend server.
+		Call bool
+	}
+
+	// Where is the response of /v1/where: what a node would do with a request now, by its
+	// own state. Rates, and requests that crash servers, are left out.
+	Where struct {
+		VM      string   `json:"vm"`
+		Route   string   `json:"route"`
+		Rank    int      `json:"rank"` // 0 is the most urgent
+		Version uint64   `json:"version"`
+		AgeMs   int64    `json:"ageMs"` // time since the node last knew all published state
+		Homes   []string `json:"homeRegions,omitempty"`
+		// Refusal is why no such request would be sent at all.
+		Refusal string `json:"refusal,omitempty"`
+		// ThrottledRatio is the part, 0 to 1, of such requests that the node would refuse
+		// for the excess of the bottleneck, as reported ReportAgeMs ago by Reporter.
+		ThrottledRatio float64 `json:"throttledRatio"`
+		Excess         float64 `json:"excess"`
+		Bottleneck     string  `json:"bottleneck,omitempty"`
+		Reporter       string  `json:"reporter,omitempty"`
+		ReportAgeMs    int64   `json:"reportAgeMs,omitempty"`
+		// LostRatio is the part of such requests that are lost to rejected calls.
+		LostRatio float64 `json:"lostRatio"`
+		// ExpectedMs is the service time expected at a server of mean speed, estimated
+		// by route, shape or organisation; 0 if unknown.
+		ExpectedMs float64     `json:"expectedMs"`
+		ExpectedBy string      `json:"expectedBy"`
+		Pools      []WherePool `json:"pools"`
+	}
+
+	// A WherePool is a pool that may run the request.
+	WherePool struct {
+		Pool  string  `json:"pool"`
+		Share float64 `json:"share"` // of the route's requests, by its weights
+		// ByCompletion tells whether servers are compared by expected completion, or
+		// else by utilisation.
+		ByCompletion bool          `json:"byCompletion"`
+		Servers      []WhereServer `json:"servers"`
+	}
+
+	// A WhereServer is a server of a pool.
+	WhereServer struct {
+		Server     string `json:"server"`
+		DataCentre string `json:"dataCentre"`
+		Region     string `json:"region"`
+		// Share is the part of the requests to the pool that would go to it now.
+		Share float64 `json:"share"`
+		// Reason is why it can't be selected; empty if it can.
+		Reason      string  `json:"reason,omitempty"`
+		AgeMs       int64   `json:"ageMs"` // of what is known of its load; -1: nothing
+		Utilisation float64 `json:"utilisation"`
+		// The parts of the expected completion; 0 unless ByCompletion.
+		WaitMs    float64 `json:"waitMs,omitempty"`
+		ServiceMs float64 `json:"serviceMs,omitempty"`
+		TravelMs  float64 `json:"travelMs,omitempty"`
+		PenaltyMs float64 `json:"penaltyMs,omitempty"` // for distance, failures and pressure
+	}
+
 	// An Entry is one entry of a node's audit trail, as returned by /v1/audit.
 	Entry struct {
 		Time    time.Time `json:"time"`
@@ -75,6 +143,14 @@
 	return s, err
 }
 
+// Where returns what a node would do with a request now, without sending it.
+func (o *Observer) Where(ctx context.Context, node netip.AddrPort, q WhereQuery) (Where, error) {
+	values := url.Values{"host": {q.Host}, "target": {q.Target}, "organisation": {q.Organisation}, "call": {strconv.FormatBool(q.Call)}}
+	var w Where
+	err := o.get(ctx, node, "/v1/where?"+values.Encode(), &w)
+	return w, err
+}
+
 // Audit returns up to count of a node's latest audit entries, newest first.
 func (o *Observer) Audit(ctx context.Context, node netip.AddrPort, count int) ([]Entry, error) {
 	var entries []Entry
