--- a/apricotd/internal/process/picker/completion.go
+++ b/apricotd/internal/process/picker/completion.go
@@ -68,16 +68,7 @@
 	if r == nil {
 		r = &serverRecord{}
 	}
-	slots := float64(r.slots)
-	if slots == 0 {
-		slots = float64(s.Slots)
-	}
-	if slots == 0 {
-		slots = defaultSlots
-	}
-	if now.Before(s.ColdUntil) {
-		slots *= coldSlotFraction
-	}
+	slots := usableSlots(s, r, now)
 	d := p.distance(s)
 	v := scorer.View{
 		Occupied:    float64(r.load),
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -509,16 +509,7 @@
 	if r == nil {
 		r = &serverRecord{}
 	}
-	slots := float64(r.slots)
-	if slots == 0 {
-		slots = float64(s.Slots)
-	}
-	if slots == 0 {
-		slots = defaultSlots
-	}
-	if now.Before(s.ColdUntil) {
-		slots *= coldSlotFraction
-	}
+	slots := usableSlots(s, r, now)
 	age := decayer.Factor(now.Sub(r.reportedAt), reportHalfLife)
 	utilisation := max(float64(r.load)*age/slots, float64(r.inFlight)/slots, r.rateUtilisation*age)
 	if p.ColdRate != nil && p.ColdRate(s) > 0 {
@@ -531,6 +522,22 @@
 	return utilisation
 }
 
+// usableSlots returns how many requests a server can run at once, as it was last
+// reported or else as it is listed.
+func usableSlots(s *lister.Server, r *serverRecord, now time.Time) float64 {
+	slots := float64(r.slots)
+	if slots == 0 {
+		slots = float64(s.Slots)
+	}
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	if now.Before(s.ColdUntil) {
+		slots *= coldSlotFraction
+	}
+	return slots
+}
+
 func (p *Picker) recordFor(id string) *serverRecord {
 	if p.records == nil {
 		p.records = make(map[string]*serverRecord)
--- a/apricotd/internal/request/proxier/homes.go
+++ b/apricotd/internal/request/proxier/homes.go
@@ -26,7 +26,7 @@
 	return refused{
 		reason: reasonNoHome,
 		detail: fmt.Sprintf("the home regions of the route are %v, those of organisation %s are %v",
-			rq.route.HomeRegions, rq.organisation.Name, rq.organisation.HomeRegions),
+			rq.route.Homes, rq.organisation.Name, rq.organisation.Homes),
 		retryAfter: noHomeRetryAfter,
 	}
 }
--- a/apricotd/mesher/homes_test.go
+++ b/apricotd/mesher/homes_test.go
@@ -55,10 +55,10 @@
 	t := baseTables(version)
 	for _, r := range t.Routes {
 		if r.Name == route {
-			r.HomeRegions = routeHomes
+			r.Homes = routeHomes
 		}
 	}
-	t.Organisations[0].HomeRegions = organisationHomes
+	t.Organisations[0].Homes = organisationHomes
 	return t
 }
 
--- a/apricotd/version/resolver/homes.go
+++ b/apricotd/version/resolver/homes.go
@@ -17,12 +17,12 @@
 // slice that is not nil means none. The organisation may be nil.
 func Homes(route *Route, o *Organisation) []string {
 	switch {
-	case o == nil || len(o.HomeRegions) == 0:
-		return nonEmpty(route.HomeRegions)
-	case len(route.HomeRegions) == 0:
-		return o.HomeRegions
+	case o == nil || len(o.Homes) == 0:
+		return nonEmpty(route.Homes)
+	case len(route.Homes) == 0:
+		return o.Homes
 	}
-	return intersection(route.HomeRegions, o.HomeRegions)
+	return intersection(route.Homes, o.Homes)
 }
 
 // HomesByName is Homes for names. It returns false if the tables have no such route. An
@@ -42,21 +42,21 @@
 	var c HomeConflict
 	organisations := make(map[string][]*Organisation)
 	for _, o := range r.Tables.Organisations {
-		if len(o.HomeRegions) > 0 {
-			key := setKey(o.HomeRegions)
+		if len(o.Homes) > 0 {
+			key := setKey(o.Homes)
 			organisations[key] = append(organisations[key], o)
 		}
 	}
 	checked := make(map[string]int) // organisations in conflict, by set of a route
 	for _, route := range r.Tables.Routes {
-		if len(route.HomeRegions) == 0 || route.Public {
+		if len(route.Homes) == 0 || route.Public {
 			continue
 		}
-		key := setKey(route.HomeRegions)
+		key := setKey(route.Homes)
 		count, ok := checked[key]
 		if !ok {
 			for _, group := range organisations {
-				if len(intersection(route.HomeRegions, group[0].HomeRegions)) > 0 {
+				if len(intersection(route.Homes, group[0].Homes)) > 0 {
 					continue
 				}
 				count += len(group)
--- a/apricotd/version/resolver/homes_test.go
+++ b/apricotd/version/resolver/homes_test.go
@@ -9,11 +9,11 @@
 func TestHomeConflict(t *testing.T) {
 	r := New(&Tables{
 		Routes: []*Route{
-			{Name: "a"}, {Name: "b", HomeRegions: []string{"x", "y"}}, {Name: "c", HomeRegions: []string{"y", "x"}},
-			{Name: "d", HomeRegions: []string{"z"}}, {Name: "e", HomeRegions: []string{"z"}, Public: true},
+			{Name: "a"}, {Name: "b", Homes: []string{"x", "y"}}, {Name: "c", Homes: []string{"y", "x"}},
+			{Name: "d", Homes: []string{"z"}}, {Name: "e", Homes: []string{"z"}, Public: true},
 		},
 		Organisations: []*Organisation{
-			{Name: "m"}, {Name: "n", HomeRegions: []string{"z"}}, {Name: "o", HomeRegions: []string{"x"}}, {Name: "p", HomeRegions: []string{"x"}},
+			{Name: "m"}, {Name: "n", Homes: []string{"z"}}, {Name: "o", Homes: []string{"x"}}, {Name: "p", Homes: []string{"x"}},
 		},
 	})
 	if got, want := fmt.Sprint(r.HomeConflict()), "{b n 4}"; got != want {
@@ -23,7 +23,7 @@
 
 // Guards against a cost of home regions for requests that have none.
 func TestHomesAllocateOnlyForBoth(t *testing.T) {
-	free, bound, o := &Route{}, &Route{HomeRegions: []string{"x"}}, &Organisation{HomeRegions: []string{"x"}}
+	free, bound, o := &Route{}, &Route{Homes: []string{"x"}}, &Organisation{Homes: []string{"x"}}
 	if n := testing.AllocsPerRun(100, func() { Homes(free, nil); Homes(free, o); Homes(bound, &Organisation{}) }); n != 0 {
 		t.Errorf("allocations: got %v, want 0", n)
 	}
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -52,9 +52,9 @@
 		// WeightedPools are the pools between which requests are split, at least
 		// one.
 		WeightedPools []WeightedPool
-		// HomeRegions are the only regions in which requests may be served; none
+		// Homes are the only regions in which requests may be served; none
 		// means any.
-		HomeRegions []string
+		Homes []string
 	}
 
 	// A WeightedPool is one pool of a route's traffic split with its weight.
@@ -87,9 +87,9 @@
 		// rank if HasRank is set; 0 is the highest.
 		Rank    int
 		HasRank bool
-		// HomeRegions are the only regions in which its requests may be served; none
+		// Homes are the only regions in which its requests may be served; none
 		// means any.
-		HomeRegions []string
+		Homes []string
 	}
 
 	// Limits bounds the size of requests, the time a caller takes to send the
