--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -1,11 +1,12 @@
 // Package picker selects the backend server for a request.
 //
-// It guarantees that a server which is known to be leaving or in an evacuated data
-// centre, or was already tried, is not selected. The local data centre is preferred to the rest of the local
-// region while it has room, and both to other regions, because traffic between
-// data centres and regions is charged. Among servers at the same distance the
-// least utilised one is selected. Recent failures add to the utilisation, so a
-// server that fails many requests gets few until it recovers.
+// It guarantees that a server is not selected that is known to be leaving, is in an
+// evacuated data centre or outside the home regions of the request, or was already
+// tried. The local data centre is preferred to the rest of the local region while it
+// has room, and both to other regions, because traffic between data centres and
+// regions is charged. Among servers at the same distance the least utilised one is
+// selected. Recent failures add to the utilisation, so a server that fails many
+// requests gets few until it recovers.
 //
 // If ByCompletion is set and servers of the pool state how long work takes there at
 // present, the server is instead the one at which the request is expected to be completed
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -2,10 +2,11 @@
 // node's own callers and for peers.
 //
 // It guarantees that a request is sent only while the server is not leaving, its data
-// centre is not evacuated and it belongs to the requested pool, and that it carries the time that remains until its
-// deadline and the id of the very server that was checked: the address may pass to
-// another server at any time, which rejects that id. A refusal states "not run" only if no
-// byte of the request was sent or the server itself stated it.
+// centre is not evacuated, its region is a home of the request and it belongs to the
+// requested pool. The request carries the time that remains until its deadline and the
+// id of the very server that was checked: the address may pass to another server at any
+// time, which rejects that id. A refusal states "not run" only if no byte of the request
+// was sent or the server itself stated it.
 //
 // # Usage
 //
