Postponer: the first excess that a node observes doesn't last

Cause: a node's first request to a route may be observed before the server's node has measured anything, with an excess of 0. The moving average of the spare capacity took that first value in full, so with its half-life of 3 s a node that had just started postponed hardly anyone for seconds.

Change: each observation counts for the time since the one before.

--- a/apricotd/internal/request/postponer/postponer.go
+++ b/apricotd/internal/request/postponer/postponer.go
@@ -106,11 +106,12 @@
 	}
 
 	route struct {
-		reports   map[string]report // by server
-		latency   float64           // mean, seconds
-		spare     float64           // moving average of the spare capacity as a fraction of the demand
-		spareAt   time.Time
-		updatedAt time.Time
+		reports     map[string]report // by server
+		latency     float64           // mean, seconds
+		spare       float64           // moving average of the spare capacity as a fraction of the demand
+		spareWeight float64           // of the observations in spare; it tends to 1
+		spareAt     time.Time
+		updatedAt   time.Time
 	}
 
 	report struct {
@@ -149,8 +150,19 @@
 	if r.lostFraction(now) >= maxLostUsual {
 		return
 	}
+	spare := min(1, -excess)
+	if r.spareAt.IsZero() {
+		r.spare, r.spareAt = spare, now
+		return
+	}
+	// Each observation counts for the time since the one before, so the first one,
+	// which may precede all measurements of the pool, counts only until the second.
 	old := decayer.Factor(now.Sub(r.spareAt), spareHalfLife)
-	r.spare, r.spareAt = old*r.spare+(1-old)*min(1, -excess), now
+	r.spareWeight = old*r.spareWeight + 1 - old
+	if r.spareWeight > 0 {
+		r.spare += (spare - r.spare) * (1 - old) / r.spareWeight
+	}
+	r.spareAt = now
 }
 
 // Delay returns after what time a caller should come back, if its request is
--- a/apricotd/internal/request/postponer/postponer_test.go
+++ b/apricotd/internal/request/postponer/postponer_test.go
@@ -214,6 +214,30 @@
 	}
 }
 
+// Guards against postponing hardly anyone for seconds after a node has started: its first
+// request may be observed before the pool has been measured, when the excess is 0.
+func TestFirstObservedExcessDoesNotLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Postponer{}
+		p.ObserveAnswer("order", treeTime)
+		p.ObserveExcess("order", 0)
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			p.ObserveExcess("order", -2)
+		}
+		p.Observe("order", "s", 1)
+		postponed, n := 0, 1000
+		for i := range n {
+			if _, ok := p.Delay(Request{Route: "order", Left: patience, Target: target, Fingerprint: func() uint64 { return uint64(i) }}); ok {
+				postponed++
+			}
+		}
+		if postponed < n*9/10 {
+			t.Errorf("postponed with twice the demand spare for a second: got %d of %d, want at least nine tenths", postponed, n)
+		}
+	})
+}
+
 // Only callers who have not been here may be postponed, and only if they can be back
 // on time.
 func TestPostponesOnceAndOnTime(t *testing.T) {
