Rank of calls: a setting and metrics

The rank of a call was determined on every deployment, could not be switched off and showed in no metric. [overload] callRanks is "configured" by default: calls get the rank of their tree if routes have different ranks; with "never" they precede all requests of callers. Other values are an error that names the key.

Metrics: apricot_calls_ranked_total{rank} and apricot_calls_yielded_total. explain and where say whether a rank is that of the call tree.

TestRanksCanBeSwitchedOff guards against a part that can't be switched off or that acts with routes of one rank, TestOverloadSettings against unknown values. TestCallsYieldToMoreUrgentCallers also checks that such calls are counted. The table of TestBalancingSetting is unchanged; its settings moved to switch_test.go.

--- a/apricotctl/explain.go
+++ b/apricotctl/explain.go
@@ -41,6 +41,7 @@
 		Route    string    `json:"route"`
 		Pool     string    `json:"pool"`
 		Rank     int       `json:"rank"`
+		TreeRank bool      `json:"treeRank"`
 		Version  uint64    `json:"version"`
 		Call     bool      `json:"call"`
 		Tries    int       `json:"tries"`
@@ -162,6 +163,14 @@
 	return records, nil
 }
 
+// rankBasis says whose rank a call has.
+func rankBasis(isTreeRank bool) string {
+	if isTreeRank {
+		return " of its call tree"
+	}
+	return ""
+}
+
 func (r *requestRecord) summary() string {
 	what := "request"
 	if r.Call {
@@ -172,7 +181,7 @@
 	if r.prefix != "" {
 		fmt.Fprintf(&b, " [%s]", r.prefix)
 	}
-	fmt.Fprintf(&b, " %s %s on route %s (rank %d, tables %d): %s after %d ms", what, r.Request, r.Route, r.Rank, r.Version, r.Outcome, r.TookMs)
+	fmt.Fprintf(&b, " %s %s on route %s (rank %d%s, tables %d): %s after %d ms", what, r.Request, r.Route, r.Rank, rankBasis(r.TreeRank), r.Version, r.Outcome, r.TookMs)
 	fmt.Fprintf(&b, "; asked %d nodes of pool %s", r.Tries, r.Pool)
 	if r.Server != "" {
 		fmt.Fprintf(&b, ", %s last", r.Server)
--- a/apricotctl/explain_test.go
+++ b/apricotctl/explain_test.go
@@ -18,6 +18,9 @@
 `,
 		"r11": `08:00:01.700 [1.7 vm-a] request r11 on route search (rank 2, tables 7): answered after 94 ms; asked 1 nodes of pool search, i-4 last; reached 1 backend servers
     the last server was selected of 22: 4 ms of wait and 71 ms of service were expected there (140 ms at a server of mean speed, learned by shape), with a penalty of 25 ms; its load was reported 35 ms before; its service took 90 ms
+`,
+		"r12": `08:00:01.800 [1.8 vm-b] call r12.c1 on route stock (rank 2 of its call tree, tables 7): overloaded after 35 ms; asked 1 nodes of pool stock, i-3 last; reached 0 backend servers; request shed: displaced
+    the node beside the server refused it, because no slot became free in time, or because its server was cold and had got as many requests as it tolerates (see the detail); it has not run
 `,
 	} {
 		f, err := os.Open("testdata/explain.log")
--- a/apricotctl/where.go
+++ b/apricotctl/where.go
@@ -52,7 +52,7 @@
 // writeWhere writes what a node would do with a request: first what concerns all servers,
 // then the servers of each pool, those that get most first.
 func writeWhere(out io.Writer, w *observer.Where) error {
-	fmt.Fprintf(out, "node %s: route %s, rank %d, by tables %d and state that is %d ms old\n", w.VM, w.Route, w.Rank, w.Version, w.AgeMs)
+	fmt.Fprintf(out, "node %s: route %s, rank %d%s, by tables %d and state that is %d ms old\n", w.VM, w.Route, w.Rank, rankBasis(w.TreeRank), w.Version, w.AgeMs)
 	if w.Refusal != "" {
 		fmt.Fprintf(out, "would refuse each such request: %s\n", w.Refusal)
 	}
--- a/apricotd/internal/process/admitter/admitter.go
+++ b/apricotd/internal/process/admitter/admitter.go
@@ -80,6 +80,7 @@
 	Request struct {
 		Class        checker.Class
 		Call         bool // precedes callers' requests of the same class
+		TreeRanked   bool // whether the class of a call is that of its call tree
 		Organisation string
 		Weight       float64 // the organisation's rate; 0 counts as 1
 		Deadline     time.Time
@@ -111,6 +112,9 @@
 	Admitter struct {
 		// Gate may be nil.
 		Gate Gate
+		// OnYield is called, with the Admitter's lock held, once for each call that goes
+		// after a request because its call tree is less urgent. It may be nil.
+		OnYield func()
 
 		mu              sync.Mutex
 		queueWait       time.Duration
@@ -131,6 +135,7 @@
 	waiter struct {
 		Request
 		arrivedAt time.Time
+		yielded   bool
 		result    chan error // receives nil or a *ShedError, once
 	}
 
--- a/apricotd/internal/process/admitter/calls_test.go
+++ b/apricotd/internal/process/admitter/calls_test.go
@@ -26,10 +26,13 @@
 		searchWorth  = 0.86
 		duration     = 6 // seconds
 	)
-	type result struct{ worth, worstSecond, payments, calls, wasted float64 }
+	type result struct {
+		worth, worstSecond, payments, calls, wasted float64
+		yields                                      int
+	}
 	play := func(payment, call Request) (r result) {
 		synctest.Test(t, func(t *testing.T) {
-			a := &Admitter{}
+			a := &Admitter{OnYield: func() { r.yields++ }}
 			a.SetLimit(slots)
 			var (
 				wg           sync.WaitGroup
@@ -81,7 +84,7 @@
 	classOfSearch := checker.ClassCritical - 1
 	baseline := play(Request{Class: checker.ClassCritical}, Request{Class: checker.ClassCritical + 1, Call: true})
 	naive := play(Request{Class: classOfSearch}, Request{Class: classOfSearch})
-	now := play(Request{Class: checker.ClassCritical}, Request{Class: classOfSearch, Call: true})
+	now := play(Request{Class: checker.ClassCritical}, Request{Class: classOfSearch, Call: true, TreeRanked: true})
 	share := (slots - payments*paymentTime.Seconds()) / (calls * callTime.Seconds())
 	optimum := (paymentWorth*payments + searchWorth*calls*share) / (paymentWorth*payments + searchWorth*calls)
 	for name, r := range map[string]result{"baseline": baseline, "naive": naive, "now": now} {
@@ -94,6 +97,9 @@
 	if got, want := now.worth, 0.95*optimum; got < want {
 		t.Errorf("worth: got %.3f, want at least 95 %% of the optimum, %.3f", got, want)
 	}
+	if now.yields == 0 || naive.yields > 0 || baseline.yields > 0 {
+		t.Errorf("calls that yielded: got %d, with all calls first %d, in order of arrival %d; want some, none and none", now.yields, baseline.yields, naive.yields)
+	}
 	if got := now.payments; got < 0.99 {
 		t.Errorf("payments served: got %.3f, want at least 0.99", got)
 	}
--- a/apricotd/internal/process/admitter/queue.go
+++ b/apricotd/internal/process/admitter/queue.go
@@ -23,8 +23,10 @@
 		return nil
 	}
 	if !a.precedes(w, a.waiters[least], now) {
+		a.recordYield(w, a.waiters[least])
 		return &ShedError{Cause: QueueFull, RetryAfter: a.retryAfter()}
 	}
+	a.recordYield(a.waiters[least], w)
 	a.waiters[least].result <- &ShedError{Cause: Displaced, RetryAfter: a.retryAfter()}
 	a.waiters[least] = w
 	return nil
@@ -60,11 +62,25 @@
 			return
 		}
 		a.removeAt(i)
+		for _, other := range a.waiters {
+			a.recordYield(other, w)
+		}
 		a.admit(w.Request, now)
 		w.result <- nil
 	}
 }
 
+// recordYield records that w goes after other, if it is a call that does so only because
+// its call tree is less urgent. An earlier call would have gone first in any case.
+func (a *Admitter) recordYield(w, other *waiter) {
+	isEarlierCall := other.Call && other.arrivedAt.Before(w.arrivedAt)
+	if !w.TreeRanked || w.Class >= other.Class || isEarlierCall || w.yielded || a.OnYield == nil {
+		return
+	}
+	w.yielded = true
+	a.OnYield()
+}
+
 // admitAfter calls admitWaiting after a time, instead of at an earlier request's
 // time.
 func (a *Admitter) admitAfter(wait time.Duration) {
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -255,6 +255,7 @@
 	release, err := i.Admitter.Enter(ctx, admitter.Request{
 		Class:        classOf(run),
 		Call:         run.Call,
+		TreeRanked:   run.Call && run.TreeRanked,
 		Organisation: run.Organisation,
 		Weight:       run.Weight,
 		Deadline:     deadline,
--- a/apricotd/internal/request/proxier/outcome.go
+++ b/apricotd/internal/request/proxier/outcome.go
@@ -163,6 +163,9 @@
 		"detail":   detail,
 	}
 	p.recordPrediction(rq, fields)
+	if rq.hasTreeRank {
+		fields["treeRank"] = true
+	}
 	if rq.organisation != nil {
 		fields["organisation"] = rq.organisation.Name
 	}
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -124,6 +124,9 @@
 		Appraiser *appraiser.Appraiser
 		// Ranker determines the rank of the own backend server's calls.
 		Ranker *ranker.Ranker
+		// RanksCalls says whether calls get the rank of their tree if routes have
+		// different ranks.
+		RanksCalls bool
 		// Forecaster learns of the calls of the own backend server that are rejected.
 		Forecaster *forecaster.Forecaster
 		// Postponer refuses callers' requests that would probably be lost to rejected
@@ -247,7 +250,7 @@
 	if p.Quarantine.HasSuspects() && p.Quarantine.IsQuarantined(quarantiner.Fingerprint(rq.Method, rq.Host, rq.Target, rq.Body)) {
 		return refused{reason: invoker.Quarantined, detail: "backend servers crashed while they ran this request", retryAfter: invoker.QuarantineRetryAfter}
 	}
-	if o := p.throttle(rq); o != nil {
+	if o := p.throttle(rq, tables); o != nil {
 		return o
 	}
 	if o := p.postpone(rq); o != nil {
@@ -274,14 +277,24 @@
 	}
 }
 
+// treeRank returns the rank of a call's tree. It returns false for a request of a caller,
+// and if the rank is unknown or makes no difference.
+func (p *Proxier) treeRank(rq *request, tables *resolver.Resolver) (rank int, ok bool) {
+	if !rq.isCall || !p.RanksCalls || !tables.HasRanks() {
+		return 0, false
+	}
+	return p.Ranker.Rank(rq.route.Name)
+}
+
 // throttle rejects a fraction of callers' requests whose call tree is
 // overloaded. It never rejects a call of a backend server, since work has
 // already been done for it.
-func (p *Proxier) throttle(rq *request) outcome {
+func (p *Proxier) throttle(rq *request, tables *resolver.Resolver) outcome {
 	if rq.isCall {
 		p.Correlator.RecordCall(rq.route.Name)
-		if rank, ok := p.Ranker.Rank(rq.route.Name); ok {
+		if rank, ok := p.treeRank(rq, tables); ok {
 			rq.rank, rq.hasTreeRank = rank, true
+			p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_calls_ranked_total{rank="%d"}`, rank)).Inc()
 		}
 		rq.throttledFraction = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
 		return nil
--- a/apricotd/internal/request/proxier/where.go
+++ b/apricotd/internal/request/proxier/where.go
@@ -48,17 +48,18 @@
 		homes:        resolver.Homes(route, organisation),
 	}
 	rq.deadline = p.deadline(rq)
+	if rank, ok := p.treeRank(rq, tables); ok {
+		rq.rank, rq.hasTreeRank = rank, true
+	}
 	return p.where(rq), nil
 }
 
 func (p *Proxier) where(rq *request) observer.Where {
-	if rank, ok := p.Ranker.Rank(rq.route.Name); rq.isCall && ok {
-		rq.rank = rank
-	}
 	_, current := p.StateAge()
 	w := observer.Where{
 		Route:     rq.route.Name,
 		Rank:      rq.rank,
+		TreeRank:  rq.hasTreeRank,
 		Version:   rq.version,
 		AgeMs:     current.Milliseconds(),
 		Homes:     rq.homes,
--- a/apricotd/mesher/build.go
+++ b/apricotd/mesher/build.go
@@ -87,7 +87,7 @@
 	n.forecaster = &forecaster.Forecaster{}
 	n.quarantine = &quarantiner.Quarantiner{}
 	n.warmer = &warmer.Warmer{Overshoot: s.Backend.ColdOvershoot, Slack: s.Backend.ColdSlack, Log: n.Log}
-	admission := &admitter.Admitter{Gate: n.warmer}
+	admission := &admitter.Admitter{Gate: n.warmer, OnYield: n.metrics.NewCounter("apricot_calls_yielded_total").Inc}
 	n.warmer.WantProbe = n.requestProbe
 	n.warmer.OnChange = admission.GateChanged
 	n.warmer.Announce = func() {
@@ -240,6 +240,7 @@
 		Correlator:  n.correlator,
 		Appraiser:   n.appraiser,
 		Ranker:      n.ranker,
+		RanksCalls:  s.Overload.CallRanks != never,
 		Forecaster:  n.forecaster,
 		Postponer:   &postponer.Postponer{},
 		StateAge:    n.syncer.StateAge,
--- a/apricotd/mesher/cost_test.go
+++ b/apricotd/mesher/cost_test.go
@@ -48,31 +48,11 @@
 
 // Guards against a node that starts with a setting that it does not know.
 func TestBalancingSetting(t *testing.T) {
-	const valid = `vm = "a"
-region = "r"
-dataCentre = "d"
-pool = "p"
-[listen]
-callers = "10.0.0.1:1"
-health = "10.0.0.1:2"
-links = "10.0.0.1:3"
-operators = "10.0.0.1:4"
-[backend]
-address = "10.0.0.1:5"
-[store]
-address = "10.0.0.2:1"
-[limits]
-stopWithin = "6s"
-[rates]
-window = "5s"
-[retries]
-window = "10s"
-`
 	for text, want := range map[string]string{
 		"": whereStated, "[balancing]\nbyExpectedWork = \"always\"\n": always, "[balancing]\nbyExpectedWork = \"never\"\n": never,
 		"[balancing]\nbyExpectedWork = \"sometimes\"\n": "",
 	} {
-		s, err := Parse("settings.toml", []byte(valid+text))
+		s, err := Parse("settings.toml", []byte(validSettings+text))
 		switch {
 		case want == "" && err == nil:
 			t.Errorf("parse %q: got no error, want one", text)
--- a/apricotd/mesher/fleet_test.go
+++ b/apricotd/mesher/fleet_test.go
@@ -73,6 +73,8 @@
 		store   *fakeStore
 		vms     map[string]*vm
 		nextID  atomic.Int64
+		// overload holds the settings of the nodes that are started.
+		overload Overload
 	}
 
 	// A vm is one node and its local backend server.
@@ -129,6 +131,11 @@
 // runFleet starts a fleet in a synctest bubble, runs the test after a start-up time
 // of 3 s and stops the fleet.
 func runFleet(t *testing.T, placements map[string]placement, test func(f *fleet)) {
+	t.Helper()
+	runFleetWith(t, defaultOverload, baseTables(1), placements, test)
+}
+
+func runFleetWith(t *testing.T, o Overload, tables *resolver.Tables, placements map[string]placement, test func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
@@ -136,8 +143,10 @@
 			network: &connector.Connector{Latency: latency},
 			store:   newFakeStore(),
 			vms:     make(map[string]*vm),
+
+			overload: o,
 		}
-		f.store.publishTables(baseTables(1))
+		f.store.publishTables(tables)
 		for name, p := range placements {
 			f.addVM(name, p)
 		}
@@ -231,6 +240,8 @@
 			Limits:  Limits{StopWithin: decoder.Duration(6 * time.Second)},
 			Rates:   Rates{Overshoot: 0.25, Slack: 20, Window: decoder.Duration(5 * time.Second)},
 			Retries: Retries{Window: decoder.Duration(10 * time.Second), Ratio: 0.2, Allowance: 50},
+
+			Overload: f.overload,
 		},
 		ReadPool: m.readPool,
 		Names:    testNames,
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -19,12 +19,16 @@
 	// defaultSettingsLag applies if the settings have no backend.settingsLag.
 	defaultSettingsLag = decoder.Duration(1800 * time.Millisecond)
 
-	// Values of balancing.byExpectedWork.
-	whereStated = "stated"
-	always      = "always"
-	never       = "never"
+	// Values of balancing.byExpectedWork and of the settings in overload.
+	whereStated     = "stated"
+	whereConfigured = "configured"
+	always          = "always"
+	never           = "never"
 )
 
+// defaultOverload applies if the settings have no overload.
+var defaultOverload = Overload{CallRanks: whereConfigured}
+
 type (
 	// Settings is the content of the settings file.
 	Settings struct {
@@ -39,6 +43,7 @@
 		Rates      Rates     `toml:"rates"`
 		Retries    Retries   `toml:"retries"`
 		Balancing  Balancing `toml:"balancing"`
+		Overload   Overload  `toml:"overload"`
 		Log        Log       `toml:"log"`
 		// DataCentres gives the region of each data centre.
 		DataCentres map[string]string `toml:"dataCentres"`
@@ -117,6 +122,14 @@
 		ByExpectedWork string `toml:"byExpectedWork"`
 	}
 
+	// Overload switches decisions that are made while backend servers are short of room:
+	// "configured", the default, where the tables call for it, or "never".
+	Overload struct {
+		// CallRanks gives calls of the own backend server the rank of their call tree
+		// if routes have different ranks. Otherwise they precede all requests of callers.
+		CallRanks string `toml:"callRanks"`
+	}
+
 	// Log sets the log level: "debug", "info", "warning" or "error".
 	Log struct {
 		Level string `toml:"level"`
@@ -135,7 +148,7 @@
 // Parse decodes and checks the content of a settings file; document names it in
 // errors.
 func Parse(document string, data []byte) (*Settings, error) {
-	s := &Settings{Log: Log{Level: "info"}, Store: Store{Heartbeat: defaultHeartbeat}, Backend: Backend{AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag}, Balancing: Balancing{ByExpectedWork: whereStated}}
+	s := &Settings{Log: Log{Level: "info"}, Store: Store{Heartbeat: defaultHeartbeat}, Backend: Backend{AddressReuse: defaultAddressReuse, SettingsLag: defaultSettingsLag}, Balancing: Balancing{ByExpectedWork: whereStated}, Overload: defaultOverload}
 	if err := decoder.Decode(document, data, s); err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
@@ -185,6 +198,13 @@
 	if b := s.Balancing.ByExpectedWork; b != whereStated && b != always && b != never {
 		addError("balancing.byExpectedWork", strconv.Quote(b), `"stated", "always" or "never"`)
 	}
+	for _, f := range []struct{ key, value string }{
+		{"overload.callRanks", s.Overload.CallRanks},
+	} {
+		if f.value != whereConfigured && f.value != never {
+			addError(f.key, strconv.Quote(f.value), `"configured" or "never"`)
+		}
+	}
 	for _, f := range []struct {
 		key   string
 		value decoder.Duration
--- /dev/null
+++ b/apricotd/mesher/switch_test.go
@@ -0,0 +1,112 @@
+package mesher
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// validSettings are the settings that have no default.
+const validSettings = `vm = "a"
+region = "r"
+dataCentre = "d"
+pool = "p"
+[listen]
+callers = "10.0.0.1:1"
+health = "10.0.0.1:2"
+links = "10.0.0.1:3"
+operators = "10.0.0.1:4"
+[backend]
+address = "10.0.0.1:5"
+[store]
+address = "10.0.0.2:1"
+[limits]
+stopWithin = "6s"
+[rates]
+window = "5s"
+[retries]
+window = "10s"
+`
+
+// Guards against a node that starts with a setting which it does not know, or with a
+// decision switched off that the settings do not mention.
+func TestOverloadSettings(t *testing.T) {
+	for _, key := range []string{"callRanks"} {
+		for value, want := range map[string]string{"": whereConfigured, `"configured"`: whereConfigured, `"never"`: never, `"always"`: "", `""`: ""} {
+			text := ""
+			if value != "" {
+				text = "[overload]\n" + key + " = " + value + "\n"
+			}
+			s, err := Parse("settings.toml", []byte(validSettings+text))
+			if want == "" {
+				if err == nil || !strings.Contains(err.Error(), "overload."+key) {
+					t.Errorf("parse %q: got error %v, want one that names the key", text, err)
+				}
+				continue
+			}
+			if err != nil {
+				t.Fatalf("parse %q: %v", text, err)
+			}
+			got := map[string]string{"callRanks": s.Overload.CallRanks}[key]
+			if got != want {
+				t.Errorf("parse %q: got %q, want %q", text, got, want)
+			}
+		}
+	}
+}
+
+// sumMetric returns the sum of a metric over all nodes and labels.
+func (f *fleet) sumMetric(name string) (sum float64) {
+	f.t.Helper()
+	for vm := range f.vms {
+		for line := range strings.Lines(f.operatorPage(vm, "/metrics")) {
+			if text, ok := strings.CutPrefix(line, name); ok && (text[0] == ' ' || text[0] == '{') {
+				n, err := strconv.ParseFloat(strings.TrimSpace(text[strings.LastIndexByte(text, ' '):]), 64)
+				if err != nil {
+					f.t.Fatalf("metric %q: %v", line, err)
+				}
+				sum += n
+			}
+		}
+	}
+	return sum
+}
+
+// The load: 1.7 times the capacity of a pool that two routes of different ranks share.
+// Guards against a part that can't be switched off, or that acts where the tables do not
+// call for it.
+func TestRanksCanBeSwitchedOff(t *testing.T) {
+	oneRank := baseTables(1)
+	for _, r := range oneRank.Routes {
+		r.Rank = 1
+	}
+	for _, c := range []struct {
+		name     string
+		overload Overload
+		isOn     bool
+	}{
+		{"configured", defaultOverload, true},
+		{"never", Overload{CallRanks: never}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runFleetWith(t, c.overload, baseTables(1), callChainVMs, func(f *fleet) {
+				f.raiseRateLimit()
+				runCallChains(f, 280, 60, 4*time.Second)
+				for _, name := range []string{"apricot_calls_ranked_total", "apricot_calls_yielded_total"} {
+					if got := f.sumMetric(name); got > 0 != c.isOn {
+						t.Errorf("%s: got %.0f, want some: %v", name, got, c.isOn)
+					}
+				}
+			})
+		})
+	}
+	t.Run("one rank", func(t *testing.T) {
+		runFleetWith(t, defaultOverload, oneRank, callChainVMs, func(f *fleet) {
+			runCallChains(f, 80, 20, 3*time.Second)
+			if got := f.sumMetric("apricot_calls_ranked_total"); got > 0 {
+				t.Errorf("calls ranked with routes of one rank: got %.0f, want 0", got)
+			}
+		})
+	})
+}
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -68,12 +68,15 @@
 	// Where is the response of /v1/where: what a node would do with a request now, by its
 	// own state. Rates, and requests that crash servers, are left out.
 	Where struct {
-		VM      string   `json:"vm"`
-		Route   string   `json:"route"`
-		Rank    int      `json:"rank"` // 0 is the most urgent
-		Version uint64   `json:"version"`
-		AgeMs   int64    `json:"ageMs"` // time since the node last knew all published state
-		Homes   []string `json:"homeRegions,omitempty"`
+		VM    string `json:"vm"`
+		Route string `json:"route"`
+		Rank  int    `json:"rank"` // 0 is the most urgent
+		// TreeRank tells whether Rank is that of the call trees for which the node's own
+		// backend server makes such calls. A call without it goes first.
+		TreeRank bool     `json:"treeRank,omitempty"`
+		Version  uint64   `json:"version"`
+		AgeMs    int64    `json:"ageMs"` // time since the node last knew all published state
+		Homes    []string `json:"homeRegions,omitempty"`
 		// Refusal is why no such request would be sent at all.
 		Refusal string `json:"refusal,omitempty"`
 		// ThrottledRatio is the part, 0 to 1, of such requests that the node would refuse
--- a/apricotd/version/resolver/resolver.go
+++ b/apricotd/version/resolver/resolver.go
@@ -109,6 +109,7 @@
 		routeByName        map[string]*Route
 		organisationByKey  map[string]*Organisation
 		organisationByName map[string]*Organisation
+		hasRanks           bool
 	}
 )
 
@@ -127,6 +128,7 @@
 		}
 		r.routes[route.Host][route.Prefix] = route
 		r.routeByName[route.Name] = route
+		r.hasRanks = r.hasRanks || route.Rank != t.Routes[0].Rank
 	}
 	for _, o := range t.Organisations {
 		r.organisationByName[o.Name] = o
@@ -137,6 +139,9 @@
 	return r
 }
 
+// HasRanks reports whether routes have different ranks.
+func (r *Resolver) HasRanks() bool { return r.hasRanks }
+
 // Route returns the route of the host with the longest prefix of the path.
 func (r *Resolver) Route(host, path string) (*Route, bool) {
 	prefixes := r.routes[normaliseHost(host)]
