Throttler: a setting and a metric for pools that several reports name

A route's requests count towards all pools that its reports of the last 5 s name. [overload] sharedPools = "never" counts them towards the newest only, as before. Metric apricot_shared_pool_requests_total{route}, only where routes have different ranks: with one rank the fraction to throttle does not depend on it. apricotctl where names the other pools.

TestOtherPools guards against pools that are named too long or although the part is off.

--- a/apricotctl/where.go
+++ b/apricotctl/where.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -60,6 +61,9 @@
 		fmt.Fprintf(out, "would refuse %.0f %% as throttled: pool %s has an excess of %.2f (reported by %s, %d ms ago)\n",
 			100*w.ThrottledRatio, w.Bottleneck, w.Excess, w.Reporter, w.ReportAgeMs)
 	}
+	if len(w.OtherPools) > 0 {
+		fmt.Fprintf(out, "also counts towards the demand on %s\n", strings.Join(w.OtherPools, ", "))
+	}
 	if w.LostRatio > 0 {
 		fmt.Fprintf(out, "loses %.0f %% to calls that servers with room reject; may refuse a first attempt as postponed\n", 100*w.LostRatio)
 	}
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -23,6 +23,7 @@
 package throttler
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,10 @@
 	// A Throttler stores the reports that this node has received and the demand
 	// of its callers. The zero value is ready to use.
 	Throttler struct {
+		// NewestPoolOnly makes the demand on a route count only towards the pool that
+		// the newest report names.
+		NewestPoolOnly bool
+
 		mu     sync.Mutex
 		routes map[string]*route
 	}
@@ -159,11 +164,31 @@
 	return max(0, min(1, (o.Excess*(below+same+above)-below)/same)), o
 }
 
+// OtherPools returns the pools, besides the one that the newest report names, towards
+// which requests on a route count.
+func (t *Throttler) OtherPools(name string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.routes[name]
+	if r == nil {
+		return nil
+	}
+	var out []string
+	now := time.Now()
+	for pool := range r.namedAt {
+		if pool != r.bottleneck && t.countsTowards(r, pool, now) {
+			out = append(out, pool)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // demandByRank sums the demand of all routes whose call trees lead to a bottleneck,
 // split into ranks less urgent than, equal to and more urgent than the given one.
 func (t *Throttler) demandByRank(bottleneck string, rank int, now time.Time) (below, same, above float64) {
 	for _, r := range t.routes {
-		if r.demand == 0 || !r.leadsTo(bottleneck, now) {
+		if r.demand == 0 || !t.countsTowards(r, bottleneck, now) {
 			continue
 		}
 		switch d := r.decayedDemand(now); {
@@ -228,6 +253,14 @@
 	}
 }
 
+// countsTowards reports whether demand on a route counts towards a pool.
+func (t *Throttler) countsTowards(r *route, pool string, now time.Time) bool {
+	if t.NewestPoolOnly {
+		return pool == r.bottleneck
+	}
+	return r.leadsTo(pool, now)
+}
+
 // leadsTo reports whether a recent report on the route names the pool.
 func (r *route) leadsTo(pool string, now time.Time) bool {
 	at, ok := r.namedAt[pool]
--- a/apricotd/internal/process/throttler/throttler_test.go
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,10 +150,9 @@
 		return result{worth: worth, worstClass: min(p, s), worstSecond: worth}
 	}
 	// play runs the throttler for some seconds and returns the means and the worst second.
-	play := func(decide func(th *Throttler) (payment, search float64)) result {
+	play := func(th *Throttler, decide func(th *Throttler) (payment, search float64)) result {
 		mean := result{worstSecond: 1}
 		synctest.Test(t, func(*testing.T) {
-			th := &Throttler{}
 			const steps, perSecond = 1000, 100
 			second := 0.0
 			for i := range steps {
@@ -182,15 +182,9 @@
 		}
 		return payment, search
 	}
-	now := play(throttle)
-	baseline := play(func(th *Throttler) (payment, search float64) {
-		payment, search = throttle(th)
-		if th.routes["search"].bottleneck != "payments" {
-			payment = excess
-		}
-		return payment, search
-	})
-	naive := play(func(*Throttler) (payment, search float64) { return excess, excess })
+	now := play(&Throttler{}, throttle)
+	baseline := play(&Throttler{NewestPoolOnly: true}, throttle)
+	naive := play(&Throttler{}, func(*Throttler) (payment, search float64) { return excess, excess })
 	optimum := serve(0, excess*(payments+2*searches)/(2*searches))
 	for name, r := range map[string]result{"baseline": baseline, "now": now, "naive": naive, "optimum": optimum} {
 		t.Logf("%-8s worth %.3f, worst second %.3f, worst class %.3f", name, r.worth, r.worstSecond, r.worstClass)
@@ -202,3 +196,32 @@
 		t.Errorf("worth: got %.3f, want at least 95 %% of the optimum, %.3f", got, want)
 	}
 }
+
+// Guards against a route that is said to lead to no other pool, or to one that its
+// reports no longer name, or to one towards which its requests do not count.
+func TestOtherPools(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, newestOnly := range []bool{false, true} {
+			th := &Throttler{NewestPoolOnly: newestOnly}
+			check := func(moment, want string) {
+				t.Helper()
+				if got := strings.Join(th.OtherPools("search"), " "); got != want {
+					t.Errorf("other pools %s (newest only: %v): got %q, want %q", moment, newestOnly, got, want)
+				}
+			}
+			check("before any report", "")
+			for _, pool := range []string{"records", "payments", "stock"} {
+				th.Observe("search", "s1", Overload{Excess: 0.2, Bottleneck: pool})
+			}
+			if newestOnly {
+				check("after three reports", "")
+				continue
+			}
+			check("after three reports", "payments records")
+			time.Sleep(expireAfter / 2)
+			th.Observe("search", "s1", Overload{Excess: 0.2, Bottleneck: "payments"})
+			time.Sleep(expireAfter * 3 / 4)
+			check("after the others have expired", "")
+		}
+	})
+}
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -304,6 +304,9 @@
 		p.Postponer.ObserveExcess(rq.route.Name, overload.Excess)
 	}
 	rq.throttledFraction = fraction
+	if tables.HasRanks() && len(p.Throttler.OtherPools(rq.route.Name)) > 0 {
+		p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_shared_pool_requests_total{route=%q}`, rq.route.Name)).Inc()
+	}
 	if rand.Float64() >= fraction {
 		return nil
 	}
--- a/apricotd/mesher/build.go
+++ b/apricotd/mesher/build.go
@@ -236,7 +236,7 @@
 		Local:       n.invoker,
 		Notices:     n.notices,
 		Quarantine:  n.quarantine,
-		Throttler:   &throttler.Throttler{},
+		Throttler:   &throttler.Throttler{NewestPoolOnly: s.Overload.SharedPools == never},
 		Correlator:  n.correlator,
 		Appraiser:   n.appraiser,
 		Ranker:      n.ranker,
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -27,7 +27,7 @@
 )
 
 // defaultOverload applies if the settings have no overload.
-var defaultOverload = Overload{CallRanks: whereConfigured}
+var defaultOverload = Overload{CallRanks: whereConfigured, SharedPools: whereConfigured}
 
 type (
 	// Settings is the content of the settings file.
@@ -128,6 +128,10 @@
 		// CallRanks gives calls of the own backend server the rank of their call tree
 		// if routes have different ranks. Otherwise they precede all requests of callers.
 		CallRanks string `toml:"callRanks"`
+		// SharedPools counts requests towards all pools that recent reports on their
+		// route name, so that the least urgent of all that share a pool are throttled
+		// first. Otherwise only the newest report counts.
+		SharedPools string `toml:"sharedPools"`
 	}
 
 	// Log sets the log level: "debug", "info", "warning" or "error".
@@ -200,6 +204,7 @@
 	}
 	for _, f := range []struct{ key, value string }{
 		{"overload.callRanks", s.Overload.CallRanks},
+		{"overload.sharedPools", s.Overload.SharedPools},
 	} {
 		if f.value != whereConfigured && f.value != never {
 			addError(f.key, strconv.Quote(f.value), `"configured" or "never"`)
--- a/apricotd/mesher/switch_test.go
+++ b/apricotd/mesher/switch_test.go
@@ -32,7 +32,7 @@
 // Guards against a node that starts with a setting which it does not know, or with a
 // decision switched off that the settings do not mention.
 func TestOverloadSettings(t *testing.T) {
-	for _, key := range []string{"callRanks"} {
+	for _, key := range []string{"callRanks", "sharedPools"} {
 		for value, want := range map[string]string{"": whereConfigured, `"configured"`: whereConfigured, `"never"`: never, `"always"`: "", `""`: ""} {
 			text := ""
 			if value != "" {
@@ -48,7 +48,7 @@
 			if err != nil {
 				t.Fatalf("parse %q: %v", text, err)
 			}
-			got := map[string]string{"callRanks": s.Overload.CallRanks}[key]
+			got := map[string]string{"callRanks": s.Overload.CallRanks, "sharedPools": s.Overload.SharedPools}[key]
 			if got != want {
 				t.Errorf("parse %q: got %q, want %q", text, got, want)
 			}
@@ -87,13 +87,13 @@
 		isOn     bool
 	}{
 		{"configured", defaultOverload, true},
-		{"never", Overload{CallRanks: never}, false},
+		{"never", Overload{CallRanks: never, SharedPools: never}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runFleetWith(t, c.overload, baseTables(1), callChainVMs, func(f *fleet) {
 				f.raiseRateLimit()
 				runCallChains(f, 280, 60, 4*time.Second)
-				for _, name := range []string{"apricot_calls_ranked_total", "apricot_calls_yielded_total"} {
+				for _, name := range []string{"apricot_calls_ranked_total", "apricot_calls_yielded_total", "apricot_shared_pool_requests_total"} {
 					if got := f.sumMetric(name); got > 0 != c.isOn {
 						t.Errorf("%s: got %.0f, want some: %v", name, got, c.isOn)
 					}
@@ -104,8 +104,10 @@
 	t.Run("one rank", func(t *testing.T) {
 		runFleetWith(t, defaultOverload, oneRank, callChainVMs, func(f *fleet) {
 			runCallChains(f, 80, 20, 3*time.Second)
-			if got := f.sumMetric("apricot_calls_ranked_total"); got > 0 {
-				t.Errorf("calls ranked with routes of one rank: got %.0f, want 0", got)
+			for _, name := range []string{"apricot_calls_ranked_total", "apricot_shared_pool_requests_total"} {
+				if got := f.sumMetric(name); got > 0 {
+					t.Errorf("%s with routes of one rank: got %.0f, want 0", name, got)
+				}
 			}
 		})
 	})
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -85,7 +85,10 @@
 		Excess         float64 `json:"excess"`
 		Bottleneck     string  `json:"bottleneck,omitempty"`
 		Reporter       string  `json:"reporter,omitempty"`
-		ReportAgeMs    int64   `json:"reportAgeMs,omitempty"`
+		// OtherPools are the pools, besides Bottleneck, towards whose demand such
+		// requests count.
+		OtherPools  []string `json:"otherPools,omitempty"`
+		ReportAgeMs int64    `json:"reportAgeMs,omitempty"`
 		// LostRatio is the part of such requests that are lost to rejected calls.
 		LostRatio float64 `json:"lostRatio"`
 		// ExpectedMs is the service time expected at a server of mean speed, estimated
