Postponer: a setting, and metrics of what it did

[overload] postponement = "never" lets all first attempts run; "configured", the default, acts on routes with a latency target, as before. Which of the requests that would probably be lost were postponed, returned or let in was not visible: apricot_probably_lost_requests{outcome}. Whether a request has returned is now examined first, so that callers with little time left count as returned, and forgotten fingerprints are dropped also after the loss has ended; who is postponed stays the same. apricotctl where tells the fraction of first attempts that would be postponed instead of "may refuse".

TestPostponementCanBeSwitchedOff guards against a postponer that can't be switched off or acts without a target; TestPostponesOnceAndOnTime also checks the counts.

--- a/apricotctl/where.go
+++ b/apricotctl/where.go
@@ -65,7 +65,7 @@
 		fmt.Fprintf(out, "also counts towards the demand on %s\n", strings.Join(w.OtherPools, ", "))
 	}
 	if w.LostRatio > 0 {
-		fmt.Fprintf(out, "loses %.0f %% to calls that servers with room reject; may refuse a first attempt as postponed\n", 100*w.LostRatio)
+		fmt.Fprintf(out, "loses %.0f %% to calls that servers with room reject; would refuse %.0f %% of first attempts as postponed\n", 100*w.LostRatio, 100*w.PostponedRatio)
 	}
 	if w.Homes != nil {
 		fmt.Fprintf(out, "may run only in %v\n", w.Homes)
--- a/apricotd/internal/request/postponer/postponer.go
+++ b/apricotd/internal/request/postponer/postponer.go
@@ -85,10 +85,26 @@
 	// A Postponer holds what this node knows of each route. The zero value is ready
 	// to use.
 	Postponer struct {
+		// Disabled makes it postpone nothing. LatestReturn is not affected.
+		Disabled bool
+
 		mu        sync.Mutex
 		routes    map[string]*route
 		returning map[uint64]time.Time // until when a request is let in, by fingerprint
 		nextSweep time.Time
+		counts    Counts
+	}
+
+	// Counts holds numbers of requests since the start.
+	Counts struct {
+		Postponed int64
+		// Returned is the number of requests that had been postponed before, or are
+		// equal to one that had, and were let in.
+		Returned int64
+		// LetIn is the number of other requests that would probably be lost and were let
+		// in, because their callers could not be back in time or because no spare
+		// capacity is known for those who return.
+		LetIn int64
 	}
 
 	// A Request holds the properties of a caller's request on which the decision
@@ -101,7 +117,7 @@
 		// Target is the route's latency target.
 		Target time.Duration
 		// Fingerprint returns the same value for a request that comes again. It is
-		// called only while requests are postponed.
+		// called only while requests are postponed or expected to return.
 		Fingerprint func() uint64
 	}
 
@@ -172,31 +188,55 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	r := p.routes[rq.Route]
-	if r == nil || rq.Target == 0 || r.lostFraction(now) < threshold(rq.Idempotent) {
+	if p.Disabled || r == nil || rq.Target == 0 {
+		return 0, false
+	}
+	if p.isReturning(rq.Fingerprint, now) {
+		p.counts.Returned++
+		return 0, false
+	}
+	if r.lostFraction(now) < threshold(rq.Idempotent) {
 		return 0, false
 	}
 	delay = min(maxDelay, rq.Target-r.usualTime(), time.Duration(maxLeftFraction*float64(rq.Left)))
-	if delay < minDelay || rand.Float64() >= r.spare || p.admitReturn(rq.Fingerprint(), now.Add(returnFactor*delay), now) {
+	if delay < minDelay || rand.Float64() >= r.spare || len(p.returning) >= maxReturning {
+		p.counts.LetIn++
 		return 0, false
 	}
+	if p.returning == nil {
+		p.returning = make(map[uint64]time.Time)
+	}
+	p.returning[rq.Fingerprint()] = now.Add(returnFactor * delay)
+	p.counts.Postponed++
 	return delay, true
 }
 
-// admitReturn reports whether a request has been postponed before, or an equal one, or
-// no further one can be. Otherwise it is let in from now on until a time.
-func (p *Postponer) admitReturn(fingerprint uint64, until, now time.Time) bool {
-	if !now.Before(p.nextSweep) {
+// isReturning reports whether a request has been postponed before, or an equal one.
+func (p *Postponer) isReturning(fingerprint func() uint64, now time.Time) bool {
+	if len(p.returning) > 0 && !now.Before(p.nextSweep) {
 		p.nextSweep = now.Add(sweepInterval)
 		maps.DeleteFunc(p.returning, func(_ uint64, until time.Time) bool { return now.After(until) })
 	}
-	if now.Before(p.returning[fingerprint]) || len(p.returning) >= maxReturning {
-		return true
-	}
-	if p.returning == nil {
-		p.returning = make(map[uint64]time.Time)
+	return len(p.returning) > 0 && now.Before(p.returning[fingerprint()])
+}
+
+// Counts returns how many requests have been postponed, have returned and were let in.
+func (p *Postponer) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// PostponedFraction returns the fraction of first attempts with time to return that
+// would be postponed now.
+func (p *Postponer) PostponedFraction(name string, idempotent bool, target time.Duration) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.routes[name]
+	if p.Disabled || r == nil || r.lostFraction(time.Now()) < threshold(idempotent) || target-r.usualTime() < minDelay {
+		return 0
 	}
-	p.returning[fingerprint] = until
-	return false
+	return max(0, min(1, r.spare))
 }
 
 // LatestReturn returns after what time a refused caller must be back at the latest so
--- a/apricotd/internal/request/postponer/postponer_test.go
+++ b/apricotd/internal/request/postponer/postponer_test.go
@@ -270,6 +270,17 @@
 				t.Errorf("%s was postponed", c.name)
 			}
 		}
+		if got, want := p.Counts(), (Counts{Postponed: 1, Returned: 1, LetIn: 2}); got != want {
+			t.Errorf("counts: got %+v, want %+v", got, want)
+		}
+		if got := p.PostponedFraction("order", false, target); got != 1 {
+			t.Errorf("fraction postponed with ample spare capacity: got %.2f, want 1", got)
+		}
+		p.Disabled = true
+		if _, ok := p.Delay(Request{Route: "order", Left: patience, Target: target, Fingerprint: of(7)}); ok || p.PostponedFraction("order", false, target) > 0 {
+			t.Error("postponed although disabled")
+		}
+		p.Disabled = false
 		// One failing server of several must not count for all.
 		for i := range 5 {
 			p.Observe("order", fmt.Sprint(i), 0)
--- a/apricotd/internal/request/proxier/where.go
+++ b/apricotd/internal/request/proxier/where.go
@@ -68,6 +68,7 @@
 	fraction, overload := p.Throttler.Fraction(rq.route.Name, rq.rank)
 	if !rq.isCall {
 		w.ThrottledRatio = fraction
+		w.PostponedRatio = p.Postponer.PostponedFraction(rq.route.Name, rq.route.Idempotent, rq.route.TargetLatency)
 		w.OtherPools = p.Throttler.OtherPools(rq.route.Name)
 	}
 	w.Excess, w.Bottleneck, w.Reporter, w.ReportAgeMs = overload.Excess, overload.Bottleneck, overload.Reporter, overload.Age.Milliseconds()
--- a/apricotd/mesher/build.go
+++ b/apricotd/mesher/build.go
@@ -242,7 +242,7 @@
 		Ranker:      n.ranker,
 		RanksCalls:  s.Overload.CallRanks != never,
 		Forecaster:  n.forecaster,
-		Postponer:   &postponer.Postponer{},
+		Postponer:   &postponer.Postponer{Disabled: s.Overload.Postponement == never},
 		StateAge:    n.syncer.StateAge,
 		Log:         n.Log,
 		Metrics:     n.metrics,
--- a/apricotd/mesher/operators.go
+++ b/apricotd/mesher/operators.go
@@ -16,6 +16,7 @@
 	"apricotrudder.dev/apricotd/internal/process/catcher"
 	"apricotrudder.dev/apricotd/internal/process/identifier"
 	"apricotrudder.dev/apricotd/internal/process/logwriter"
+	"apricotrudder.dev/apricotd/internal/request/postponer"
 )
 
 const (
@@ -121,6 +122,13 @@
 	n.metrics.NewGauge("apricot_excess_ratio", n.estimator.Excess)
 	n.metrics.NewGauge("apricot_demand_requests_per_second", n.estimator.Demand)
 	n.metrics.NewGauge("apricot_config_age_seconds", func() float64 { return n.syncer.TablesAge().Seconds() })
+	for outcome, count := range map[string]func(postponer.Counts) int64{
+		"postponed": func(c postponer.Counts) int64 { return c.Postponed },
+		"returned":  func(c postponer.Counts) int64 { return c.Returned },
+		"letIn":     func(c postponer.Counts) int64 { return c.LetIn },
+	} {
+		n.metrics.NewGauge(fmt.Sprintf(`apricot_probably_lost_requests{outcome=%q}`, outcome), func() float64 { return float64(count(n.proxier.Postponer.Counts())) })
+	}
 	n.metrics.NewGauge("apricot_store_silence_seconds", func() float64 { return n.syncer.StoreOutage().Seconds() })
 	if w, ok := n.Log.Out.(*logwriter.Writer); ok {
 		n.metrics.NewGauge("apricot_log_lines_left_out", func() float64 { return float64(w.Dropped()) })
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -27,7 +27,7 @@
 )
 
 // defaultOverload applies if the settings have no overload.
-var defaultOverload = Overload{CallRanks: whereConfigured, SharedPools: whereConfigured}
+var defaultOverload = Overload{CallRanks: whereConfigured, SharedPools: whereConfigured, Postponement: whereConfigured}
 
 type (
 	// Settings is the content of the settings file.
@@ -132,6 +132,9 @@
 		// route name, so that the least urgent of all that share a pool are throttled
 		// first. Otherwise only the newest report counts.
 		SharedPools string `toml:"sharedPools"`
+		// Postponement refuses first attempts that would probably be lost to rejected
+		// calls, on routes with a latency target.
+		Postponement string `toml:"postponement"`
 	}
 
 	// Log sets the log level: "debug", "info", "warning" or "error".
@@ -205,6 +208,7 @@
 	for _, f := range []struct{ key, value string }{
 		{"overload.callRanks", s.Overload.CallRanks},
 		{"overload.sharedPools", s.Overload.SharedPools},
+		{"overload.postponement", s.Overload.Postponement},
 	} {
 		if f.value != whereConfigured && f.value != never {
 			addError(f.key, strconv.Quote(f.value), `"configured" or "never"`)
--- a/apricotd/mesher/switch_test.go
+++ b/apricotd/mesher/switch_test.go
@@ -1,10 +1,13 @@
 package mesher
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"apricotrudder.dev/apricotd/version/resolver"
 )
 
 // validSettings are the settings that have no default.
@@ -32,7 +35,7 @@
 // Guards against a node that starts with a setting which it does not know, or with a
 // decision switched off that the settings do not mention.
 func TestOverloadSettings(t *testing.T) {
-	for _, key := range []string{"callRanks", "sharedPools"} {
+	for _, key := range []string{"callRanks", "sharedPools", "postponement"} {
 		for value, want := range map[string]string{"": whereConfigured, `"configured"`: whereConfigured, `"never"`: never, `"always"`: "", `""`: ""} {
 			text := ""
 			if value != "" {
@@ -48,7 +51,7 @@
 			if err != nil {
 				t.Fatalf("parse %q: %v", text, err)
 			}
-			got := map[string]string{"callRanks": s.Overload.CallRanks, "sharedPools": s.Overload.SharedPools}[key]
+			got := map[string]string{"callRanks": s.Overload.CallRanks, "sharedPools": s.Overload.SharedPools, "postponement": s.Overload.Postponement}[key]
 			if got != want {
 				t.Errorf("parse %q: got %q, want %q", text, got, want)
 			}
@@ -112,3 +115,51 @@
 		})
 	})
 }
+
+// The load: all servers of a pool reject nearly all calls. Guards against a postponer that
+// can't be switched off, or that acts on routes without a latency target.
+func TestPostponementCanBeSwitchedOff(t *testing.T) {
+	noTarget := baseTables(1)
+	for _, r := range noTarget.Routes {
+		r.TargetLatency = 0
+	}
+	for _, c := range []struct {
+		name     string
+		overload Overload
+		tables   *resolver.Tables
+		isOn     bool
+	}{
+		{"configured", defaultOverload, baseTables(1), true},
+		{"never", Overload{Postponement: never}, baseTables(1), false},
+		{"no target", defaultOverload, noTarget, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runFleetWith(t, c.overload, c.tables, callChainVMs, func(f *fleet) {
+				runCallChains(f, 40, 40, 3*time.Second)
+				for _, name := range []string{"e", "f"} {
+					f.vms[name].worker.queueLimit = 100
+				}
+				f.setShedRatio(0.95, "e", "f")
+				order := func(i int) string {
+					return f.requestText("POST", "shop.example", fmt.Sprintf("/order/%d", i), "x")
+				}
+				for i := range 200 {
+					if r := f.send("a", order(i)); strings.HasPrefix(r.body, "postponed") {
+						f.send("a", order(i))
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				for _, outcome := range []string{"postponed", "returned"} {
+					name := fmt.Sprintf("apricot_probably_lost_requests{outcome=%q}", outcome)
+					if got := f.sumMetric(name); got > 0 != c.isOn {
+						t.Errorf("%s: got %.0f, want some: %v", name, got, c.isOn)
+					}
+				}
+				where := f.where("a", "host=shop.example&target=/order/1")
+				if got := where.PostponedRatio; got > 0 != c.isOn {
+					t.Errorf("where: got a postponed ratio of %.2f, want more than 0: %v", got, c.isOn)
+				}
+			})
+		})
+	}
+}
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -91,6 +91,9 @@
 		ReportAgeMs int64    `json:"reportAgeMs,omitempty"`
 		// LostRatio is the part of such requests that are lost to rejected calls.
 		LostRatio float64 `json:"lostRatio"`
+		// PostponedRatio is the part of first attempts that would be refused for this, if
+		// their callers state enough time to return.
+		PostponedRatio float64 `json:"postponedRatio,omitempty"`
 		// ExpectedMs is the service time expected at a server of mean speed, estimated
 		// by route, shape or organisation; 0 if unknown.
 		ExpectedMs float64     `json:"expectedMs"`
