Callers refused for a rate return in time for their latency target

Package returner bounds the delay by the latest return that meets the target. [overload] rateReturns = "never" switches it off; metric apricot_rate_refusals_total{route,advanced}.

Urgent requests first within the rate is not built: the platform's rule on rates says which requests are within a rate by their number, whatever their rank.

--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -44,6 +44,7 @@
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
+	"apricotrudder.dev/apricotd/internal/request/returner"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -132,6 +133,8 @@
 		// Postponer refuses callers' requests that would probably be lost to rejected
 		// calls.
 		Postponer *postponer.Postponer
+		// Returner determines when callers return who were refused for a rate.
+		Returner *returner.Returner
 		// StateAge returns for how long the tables have been in force, and the time
 		// since the node last knew that it had all changes of the published state.
 		StateAge func() (tables, current time.Duration)
@@ -270,11 +273,13 @@
 	if refusal == nil {
 		return nil
 	}
-	return refused{
-		reason:     reasonRateExceeded,
-		detail:     fmt.Sprintf("organisation %s exceeded its rate of %.1f requests per second (bucket owner: %s)", refusal.Organisation, refusal.Rate, refusal.Owner),
-		retryAfter: refusal.RetryAfter,
+	delay, advanced := p.rateRetryAfter(rq.route, refusal.RetryAfter)
+	detail := fmt.Sprintf("organisation %s exceeded its rate of %.1f requests per second (bucket owner: %s)", refusal.Organisation, refusal.Rate, refusal.Owner)
+	if advanced {
+		detail += fmt.Sprintf("; the caller is to return in %d ms for the latency target, although a token is likely after %d ms", delay.Milliseconds(), refusal.RetryAfter.Milliseconds())
 	}
+	p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_rate_refusals_total{route=%q,advanced="%v"}`, rq.route.Name, advanced)).Inc()
+	return refused{reason: reasonRateExceeded, detail: detail, retryAfter: delay}
 }
 
 // treeRank returns the rank of a call's tree. It returns false for a request of a caller,
@@ -322,6 +327,16 @@
 	}
 }
 
+// rateRetryAfter returns the retry delay of a request that was refused for its
+// organisation's rate, and whether that is before a token is likely.
+func (p *Proxier) rateRetryAfter(r *resolver.Route, untilToken time.Duration) (delay time.Duration, advanced bool) {
+	latest, ok := p.Postponer.LatestReturn(r.Name, r.TargetLatency)
+	if !ok {
+		return untilToken, false
+	}
+	return p.Returner.Delay(untilToken, withoutJitter(latest))
+}
+
 // throttledRetryAfter returns the retry delay of a throttled request.
 func (p *Proxier) throttledRetryAfter(r *resolver.Route) time.Duration {
 	latest, ok := p.Postponer.LatestReturn(r.Name, r.TargetLatency)
--- a/apricotd/mesher/build.go
+++ b/apricotd/mesher/build.go
@@ -30,6 +30,7 @@
 	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
+	"apricotrudder.dev/apricotd/internal/request/returner"
 	"apricotrudder.dev/apricotd/mesher/internal/warmer"
 	"apricotrudder.dev/apricotd/syncer"
 	"apricotrudder.dev/wire/linkwire"
@@ -243,6 +244,7 @@
 		RanksCalls:  s.Overload.CallRanks != never,
 		Forecaster:  n.forecaster,
 		Postponer:   &postponer.Postponer{Disabled: s.Overload.Postponement == never},
+		Returner:    &returner.Returner{Disabled: s.Overload.RateReturns == never},
 		StateAge:    n.syncer.StateAge,
 		Log:         n.Log,
 		Metrics:     n.metrics,
--- a/apricotd/mesher/settings.go
+++ b/apricotd/mesher/settings.go
@@ -27,7 +27,7 @@
 )
 
 // defaultOverload applies if the settings have no overload.
-var defaultOverload = Overload{CallRanks: whereConfigured, SharedPools: whereConfigured, Postponement: whereConfigured}
+var defaultOverload = Overload{CallRanks: whereConfigured, SharedPools: whereConfigured, Postponement: whereConfigured, RateReturns: whereConfigured}
 
 type (
 	// Settings is the content of the settings file.
@@ -135,6 +135,10 @@
 		// Postponement refuses first attempts that would probably be lost to rejected
 		// calls, on routes with a latency target.
 		Postponement string `toml:"postponement"`
+		// RateReturns tells callers who are refused for their organisation's rate to
+		// return in time for the latency target of their route, if it has one. Otherwise
+		// they return when a token is likely.
+		RateReturns string `toml:"rateReturns"`
 	}
 
 	// Log sets the log level: "debug", "info", "warning" or "error".
@@ -209,6 +213,7 @@
 		{"overload.callRanks", s.Overload.CallRanks},
 		{"overload.sharedPools", s.Overload.SharedPools},
 		{"overload.postponement", s.Overload.Postponement},
+		{"overload.rateReturns", s.Overload.RateReturns},
 	} {
 		if f.value != whereConfigured && f.value != never {
 			addError(f.key, strconv.Quote(f.value), `"configured" or "never"`)
--- a/apricotd/mesher/switch_test.go
+++ b/apricotd/mesher/switch_test.go
@@ -35,7 +35,7 @@
 // Guards against a node that starts with a setting which it does not know, or with a
 // decision switched off that the settings do not mention.
 func TestOverloadSettings(t *testing.T) {
-	for _, key := range []string{"callRanks", "sharedPools", "postponement"} {
+	for _, key := range []string{"callRanks", "sharedPools", "postponement", "rateReturns"} {
 		for value, want := range map[string]string{"": whereConfigured, `"configured"`: whereConfigured, `"never"`: never, `"always"`: "", `""`: ""} {
 			text := ""
 			if value != "" {
@@ -51,7 +51,7 @@
 			if err != nil {
 				t.Fatalf("parse %q: %v", text, err)
 			}
-			got := map[string]string{"callRanks": s.Overload.CallRanks, "sharedPools": s.Overload.SharedPools, "postponement": s.Overload.Postponement}[key]
+			got := map[string]string{"callRanks": s.Overload.CallRanks, "sharedPools": s.Overload.SharedPools, "postponement": s.Overload.Postponement, "rateReturns": s.Overload.RateReturns}[key]
 			if got != want {
 				t.Errorf("parse %q: got %q, want %q", text, got, want)
 			}
@@ -163,3 +163,45 @@
 		})
 	}
 }
+
+// The load: an organisation sends several times its rate. Guards against callers who are
+// told to return after their latency target, and against a part that can't be switched off
+// or that acts on routes without a target.
+func TestRateReturnsCanBeSwitchedOff(t *testing.T) {
+	noTarget := baseTables(1)
+	for _, r := range noTarget.Routes {
+		r.TargetLatency = 0
+	}
+	for _, c := range []struct {
+		name     string
+		overload Overload
+		tables   *resolver.Tables
+		isOn     bool
+	}{
+		{"configured", defaultOverload, baseTables(1), true},
+		{"never", Overload{RateReturns: never}, baseTables(1), false},
+		{"no target", defaultOverload, noTarget, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.tables.Organisations[0].Rate, c.tables.Organisations[0].Burst = 10, 10
+			runFleetWith(t, c.overload, c.tables, callChainVMs, func(f *fleet) {
+				refused, late := 0, 0
+				for range 400 {
+					r := f.send("a", f.getRequest("shop.example", "/search/1"))
+					if r.status == 429 {
+						refused++
+						if seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64); err != nil || seconds > 0.8 {
+							late++
+						}
+					}
+				}
+				if refused == 0 || late > 0 == c.isOn {
+					t.Errorf("refused callers who are told to return after 0.8 s: got %d of %d, want some only if switched off", late, refused)
+				}
+				if got := f.sumMetric(`apricot_rate_refusals_total{route="search",advanced="true"}`); got > 0 != c.isOn {
+					t.Errorf("returns advanced: got %.0f, want some: %v", got, c.isOn)
+				}
+			})
+		})
+	}
+}
