--- a/apricotd/internal/connection/linker/check.go
+++ b/apricotd/internal/connection/linker/check.go
@@ -31,6 +31,7 @@
 			areFinite(load.GetExcess(), load.GetDemand(), load.GetServiceMs(), load.GetRateUtilisation()) &&
 			areFinite(load.GetBacklogMs(), load.GetSlowdown(), float64(load.GetServiceRatio()), float64(kind.Result.GetServiceMs())) &&
 			load.GetLost() >= 0 && load.GetLost() <= 1 &&
+			areFinite(float64(load.GetRequestsPerRun())) && load.GetRequestsPerRun() >= 0 &&
 			isValidNotice(load.GetNotice())
 	case *linkwire.Frame_Beat:
 		valid = isValidNotice(kind.Beat.Notice)
--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -8,7 +8,8 @@
 // node whose call trees lead to the bottleneck share in the rejections, those of
 // the least urgent rank first. A tree leads to a pool if any recent report on its
 // route names it: the most overloaded of several pools changes from one report to
-// the next, and the trees load the others all the same.
+// the next, and the trees load the others all the same. Demand is counted in requests to
+// the bottleneck, as reports tell how many of them one request causes.
 //
 // # Usage
 //
@@ -46,6 +47,8 @@
 	// demandHalfLife is the half-life of the request counts from which the
 	// demand by rank is computed.
 	demandHalfLife = 2 * time.Second
+	// perRunSmoothing is the weight of one report in the mean of RequestsPerRun.
+	perRunSmoothing = 0.1
 	// evictionThreshold is the number of stored routes at which idle ones, such as
 	// those of past versions of the tables, are evicted.
 	evictionThreshold = 1024
@@ -61,6 +64,9 @@
 		Bottleneck string // pool
 		// Demand on the reporting server, in requests per second.
 		Demand float64
+		// RequestsPerRun is the mean number of requests to the bottleneck that one
+		// request of the route causes; 0 if it is 1 or unknown.
+		RequestsPerRun float64
 		// Cold reports whether the pool was short of capacity because its servers were
 		// cold.
 		Cold bool
@@ -85,6 +91,7 @@
 		reports     map[string]report    // by server
 		bottleneck  string               // from the newest report
 		namedAt     map[string]time.Time // when a report last named a pool, by pool
+		perRun      map[string]float64   // mean requests to a pool for each request, by pool
 		reportedAt  time.Time            // of the newest report
 		reporter    string               // of the newest report
 		rank        int
@@ -98,6 +105,15 @@
 	}
 )
 
+// Weight returns the mean number of requests to the bottleneck for each request of the
+// route, 1 if it is unknown.
+func (o Overload) Weight() float64 {
+	if o.RequestsPerRun <= 0 {
+		return 1
+	}
+	return o.RequestsPerRun
+}
+
 // Observe records a server's report on a route.
 func (t *Throttler) Observe(name, server string, o Overload) {
 	t.mu.Lock()
@@ -106,6 +122,11 @@
 	r.reports[server] = report{Overload: o, receivedAt: time.Now()}
 	r.bottleneck, r.reporter, r.reportedAt = o.Bottleneck, server, time.Now()
 	r.namedAt[o.Bottleneck] = r.reportedAt
+	perRun, ok := r.perRun[o.Bottleneck]
+	if !ok {
+		perRun = o.Weight()
+	}
+	r.perRun[o.Bottleneck] = perRun + (o.Weight()-perRun)*perRunSmoothing
 }
 
 // ForgetCold drops the reports of a shortage that ends because servers of the pool have
@@ -184,14 +205,14 @@
 	return out
 }
 
-// demandByRank sums the demand of all routes whose call trees lead to a bottleneck,
+// demandByRank sums the demand on a bottleneck of all routes whose call trees lead there,
 // split into ranks less urgent than, equal to and more urgent than the given one.
 func (t *Throttler) demandByRank(bottleneck string, rank int, now time.Time) (below, same, above float64) {
 	for _, r := range t.routes {
 		if r.demand == 0 || !t.countsTowards(r, bottleneck, now) {
 			continue
 		}
-		switch d := r.decayedDemand(now); {
+		switch d := r.decayedDemand(now) * r.requestsPerRun(bottleneck); {
 		case r.rank > rank:
 			below += d
 		case r.rank == rank:
@@ -238,7 +259,7 @@
 		if len(t.routes) >= evictionThreshold {
 			t.evictIdle(time.Now())
 		}
-		r = &route{reports: make(map[string]report), namedAt: make(map[string]time.Time)}
+		r = &route{reports: make(map[string]report), namedAt: make(map[string]time.Time), perRun: make(map[string]float64)}
 		t.routes[name] = r
 	}
 	return r
@@ -261,11 +282,21 @@
 	return r.leadsTo(pool, now)
 }
 
+// requestsPerRun returns the mean number of requests to a pool that one request of the
+// route causes, 1 if it is unknown.
+func (r *route) requestsPerRun(pool string) float64 {
+	if n := r.perRun[pool]; n > 0 {
+		return n
+	}
+	return 1
+}
+
 // leadsTo reports whether a recent report on the route names the pool.
 func (r *route) leadsTo(pool string, now time.Time) bool {
 	at, ok := r.namedAt[pool]
 	if ok && now.Sub(at) > expireAfter && pool != r.bottleneck {
 		delete(r.namedAt, pool)
+		delete(r.perRun, pool)
 		return false
 	}
 	return ok
@@ -290,7 +321,7 @@
 	if totalWeight == 0 {
 		return Overload{}
 	}
-	return Overload{Excess: weightedSum / totalWeight, Bottleneck: r.bottleneck, Cold: cold}
+	return Overload{Excess: weightedSum / totalWeight, Bottleneck: r.bottleneck, RequestsPerRun: r.requestsPerRun(r.bottleneck), Cold: cold}
 }
 
 func (r *route) decayedDemand(now time.Time) float64 {
--- a/apricotd/internal/process/throttler/throttler_test.go
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -225,3 +225,36 @@
 		}
 	})
 }
+
+// Guards against refusing too little while requests of several routes take different parts
+// of the bottleneck: the least urgent ones were counted like trees of four requests.
+// Load: 50 trees of four requests each beside 200 direct requests, half of which is too much.
+func TestDemandIsCountedInRequestsToTheBottleneck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		th := &Throttler{}
+		routes := []struct {
+			name             string
+			rank             int
+			requests, perRun float64
+			fraction         float64
+		}{{"order", 0, 50, 4, 0}, {"check", 1, 200, 0, 0}}
+		for _, r := range routes {
+			th.Observe(r.name, "s", Overload{Excess: 0.5, Bottleneck: "stock", Demand: 400, RequestsPerRun: r.perRun})
+			for range int(r.requests) {
+				th.ThrottleFraction(r.name, r.rank)
+			}
+		}
+		refused := 0.0
+		for _, r := range routes {
+			fraction, o := th.Fraction(r.name, r.rank)
+			weight := max(1, r.perRun)
+			if o.Weight() != weight {
+				t.Errorf("requests to the bottleneck for each %s: got %.2f, want %.2f", r.name, o.Weight(), weight)
+			}
+			refused += fraction * r.requests * weight
+		}
+		if refused < 199 || refused > 201 {
+			t.Errorf("refused of 400 requests to the bottleneck: got %.0f, want half", refused)
+		}
+	})
+}
--- /dev/null
+++ b/apricotd/internal/request/inheritor/inheritor_test.go
@@ -0,0 +1,197 @@
+package inheritor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"apricotrudder.dev/apricotd/internal/process/correlator"
+	"apricotrudder.dev/apricotd/internal/process/estimator"
+	"apricotrudder.dev/apricotd/internal/process/throttler"
+)
+
+const (
+	step        = 10 * time.Millisecond
+	duration    = 20 * time.Second
+	window      = 2 * time.Second
+	callTime    = 75 * time.Millisecond // between the calls of a tree
+	slots       = 40
+	serviceTime = 40 * time.Millisecond
+	maxQueue    = 40
+	roots       = 24
+	mids        = 8
+)
+
+type (
+	// A kind of request: a call tree whose root server makes the calls, or, without
+	// any, a request that the deepest pool serves itself.
+	kind struct {
+		name      string
+		rank      int
+		calls     int
+		perSecond float64
+	}
+
+	// A run is one request after its admission.
+	run struct {
+		kind      *kind
+		root, mid int
+		refused   float64
+		left      int // calls
+		end       func()
+	}
+
+	// A chain is a model of call trees over two pools, of which the deeper one is
+	// short of room. All state but that of the estimator, throttlers and inheritors
+	// is events by time step.
+	chain struct {
+		inherit    bool // whether calls state what applied at their roots
+		weigh      bool // whether reports tell how many calls a run makes
+		estimator  *estimator.Estimator
+		roots      [roots]throttler.Throttler
+		mids       [mids]throttler.Throttler
+		inheritors [mids]*Inheritor
+		queue      float64
+		due        map[int][]func()
+		now        int
+		served     []float64 // capacity used by requests that came through, by window
+	}
+)
+
+// Guards against a pool that is overloaded and idle by turns while it is short of room for
+// many seconds: trees are refused at roots two hops away, which hear of the excess late, and
+// some requests take four times as much of the room as others.
+// Load: a burst of 2.5 times the usual, with calls of trees of two ranks and less urgent
+// direct requests, where refused callers return once.
+func TestSustainedOverloadTwoHopsAway(t *testing.T) {
+	policies := []chain{{}, {inherit: true}, {weigh: true}, {inherit: true, weigh: true}}
+	var worst, mean []float64
+	for _, policy := range policies {
+		synctest.Test(t, func(t *testing.T) {
+			w, m := policy.play()
+			worst, mean = append(worst, w), append(mean, m)
+		})
+		t.Logf("inherited %v, weighed %v: capacity used by what came through %.3f, in the worst window %.3f", policy.inherit, policy.weigh, mean[len(mean)-1], worst[len(worst)-1])
+	}
+	before, now := 0, len(policies)-1
+	if got, want := mean[now], mean[before]+(1-mean[before])/2; got < want {
+		t.Errorf("capacity used: got %.3f, want at least %.3f, half of what the baseline loses", got, want)
+	}
+	if got, want := worst[now], worst[before]+(1-worst[before])/2; got < want {
+		t.Errorf("capacity used in the worst window: got %.3f, want at least %.3f, half of what the baseline loses", got, want)
+	}
+}
+
+func (m *chain) play() (worst, mean float64) {
+	m.due = make(map[int][]func())
+	m.estimator = &estimator.Estimator{Load: func() estimator.Load {
+		return estimator.Load{Running: int(min(slots, m.queue)), Waiting: int(max(0, m.queue-slots)), Slots: slots, MeanServiceTime: serviceTime}
+	}}
+	for i := range m.inheritors {
+		m.inheritors[i] = &Inheritor{Calls: func(route string) []correlator.Call {
+			return []correlator.Call{{Name: "read", PerRun: 4}}
+		}}
+	}
+	kinds := []*kind{{"grant", 0, 4, 60}, {"search", 1, 4, 60}, {"check", 2, 0, 200}}
+	for ; m.now < int(duration/step); m.now++ {
+		for _, k := range kinds {
+			for n := k.perSecond * step.Seconds() * 2.5; n > 0; n-- {
+				if rand.Float64() < n {
+					m.arrive(k, true)
+				}
+			}
+		}
+		events := m.due[m.now]
+		delete(m.due, m.now)
+		for _, event := range events {
+			event()
+		}
+		m.queue = max(0, m.queue-slots*step.Seconds()/serviceTime.Seconds())
+		if m.now%int(100*time.Millisecond/step) == 0 {
+			m.estimator.Step(100 * time.Millisecond)
+		}
+		time.Sleep(step)
+	}
+	// The first windows belong to the onset.
+	windows := m.served[2:]
+	worst = 1
+	for _, w := range windows {
+		used := w / (slots * window.Seconds() / serviceTime.Seconds())
+		worst = min(worst, used)
+		mean += used / float64(len(windows))
+	}
+	return worst, mean
+}
+
+func (m *chain) after(d time.Duration, event func()) {
+	at := m.now + max(1, int(d/step))
+	m.due[at] = append(m.due[at], event)
+}
+
+func (m *chain) arrive(k *kind, first bool) {
+	root := rand.N(roots)
+	fraction, overload := m.roots[root].ThrottleFraction(k.name, k.rank)
+	if rand.Float64() < fraction {
+		if first {
+			m.after(600*time.Millisecond+rand.N(300*time.Millisecond), func() { m.arrive(k, false) })
+		}
+		return
+	}
+	r := &run{kind: k, root: root, mid: rand.N(mids), refused: fraction, left: max(1, k.calls)}
+	if m.inherit {
+		r.refused = max(0, overload.Excess)
+	}
+	if k.calls > 0 {
+		r.end = m.inheritors[r.mid].Begin(k.name, r.refused)
+	}
+	m.call(r)
+}
+
+// call plays the next call of a run, or the run itself if it needs none.
+func (m *chain) call(r *run) {
+	refused := r.refused
+	if r.kind.calls > 0 {
+		refused = max(0, m.mids[r.mid].Estimate("read").Excess)
+		if inherited, ok := m.inheritors[r.mid].RefusedFraction("read"); ok && m.inherit {
+			refused = inherited
+		}
+	}
+	accepted := m.queue < slots+maxQueue
+	if accepted {
+		m.queue++
+		m.estimator.RecordAdmitted(refused)
+	} else {
+		m.estimator.RecordRefused()
+	}
+	m.after(serviceTime, func() {
+		o := throttler.Overload{Excess: m.estimator.Excess(), Bottleneck: "stock", Demand: m.estimator.Demand()}
+		if r.kind.calls == 0 {
+			m.finish(r, accepted, o)
+			return
+		}
+		m.mids[r.mid].Observe("read", "stock", o)
+		if r.left--; accepted && r.left > 0 {
+			m.after(callTime-serviceTime, func() { m.call(r) })
+			return
+		}
+		r.end()
+		o.Excess = m.mids[r.mid].Estimate("read").Excess
+		if m.weigh {
+			o.RequestsPerRun = 4
+		}
+		m.finish(r, accepted, o)
+	})
+}
+
+func (m *chain) finish(r *run, ok bool, o throttler.Overload) {
+	m.roots[r.root].Observe(r.kind.name, fmt.Sprint(r.mid), o)
+	i := int(time.Duration(m.now) * step / window)
+	for len(m.served) <= i {
+		m.served = append(m.served, 0)
+	}
+	if ok {
+		m.served[i] += float64(max(1, r.kind.calls))
+	}
+}
--- a/apricotd/internal/request/invoker/identity_test.go
+++ b/apricotd/internal/request/invoker/identity_test.go
@@ -27,6 +27,7 @@
 	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/inheritor"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
@@ -178,7 +179,7 @@
 	i := &Invoker{
 		Names: names, Exchanger: e, Admitter: &admitter.Admitter{}, Identifier: id,
 		Estimator: &estimator.Estimator{Load: func() estimator.Load { return estimator.Load{} }},
-		Tuner:     &tuner.Tuner{}, Correlator: &correlator.Correlator{}, Quarantine: &quarantiner.Quarantiner{}, Forecaster: &forecaster.Forecaster{}, Ranker: &ranker.Ranker{},
+		Tuner:     &tuner.Tuner{}, Correlator: &correlator.Correlator{}, Quarantine: &quarantiner.Quarantiner{}, Forecaster: &forecaster.Forecaster{}, Ranker: &ranker.Ranker{}, Inheritor: &inheritor.Inheritor{},
 		Noticer: &noticer.Noticer{Names: names, Log: log}, Gauger: &gauger.Gauger{}, Log: log, Metrics: metrics.NewSet(), OnBroken: func() {}, OnNewServer: func(string) {},
 		OnUnreachable: func() {}, IsCold: func() bool { return false }, MarkCold: func(m *linkwire.Notice) *linkwire.Notice { return m },
 		Downstream: func(string) throttler.Overload { return throttler.Overload{} },
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -47,6 +47,7 @@
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/inheritor"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/checker"
@@ -109,6 +110,7 @@
 	Tuner      *tuner.Tuner
 	Correlator *correlator.Correlator
 	Ranker     *ranker.Ranker
+	Inheritor  *inheritor.Inheritor
 	Forecaster *forecaster.Forecaster
 	Quarantine *quarantiner.Quarantiner
 	Noticer    *noticer.Noticer
@@ -229,6 +231,7 @@
 	overload := i.overload(run)
 	result.Load.Lost, result.Load.Rejected = i.Forecaster.LostFraction(run.Route), isLost
 	result.Load.Excess, result.Load.Bottleneck, result.Load.Demand = overload.Excess, overload.Bottleneck, i.Estimator.Demand()
+	result.Load.RequestsPerRun = float32(overload.RequestsPerRun)
 	return result
 }
 
@@ -287,6 +290,7 @@
 	running, _ := i.Admitter.Load()
 	defer i.Correlator.Begin(run.Route)()
 	defer i.Ranker.Begin(run.Route, int(run.Rank))()
+	defer i.Inheritor.Begin(run.Route, run.Held)()
 	endForecast := i.Forecaster.Begin(run.Route)
 	result = i.invoke(ctx, run, deadline)
 	answered = result.GetAnswer() != nil
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -118,7 +118,7 @@
 // server that limits its rate causes no throttling while others of the pool have
 // no limit, because those may never have been asked.
 func (p *Proxier) reportedOverload(pool string, load *linkwire.Load) throttler.Overload {
-	o := throttler.Overload{Excess: load.Excess, Bottleneck: load.Bottleneck, Demand: load.Demand, Cold: p.coldLeft(load.Bottleneck) > 0}
+	o := throttler.Overload{Excess: load.Excess, Bottleneck: load.Bottleneck, Demand: load.Demand, RequestsPerRun: float64(load.RequestsPerRun), Cold: p.coldLeft(load.Bottleneck) > 0}
 	if load.GetNotice().GetLimited() && load.Bottleneck == pool && p.hasUnlimitedServer(pool) {
 		o.Excess = min(0, o.Excess)
 	}
@@ -189,7 +189,7 @@
 		PatienceMs:  converter.Uint32(rq.maxQueueWait(left).Milliseconds()),
 		Route:       rq.route.Name,
 		Preference:  converter.Uint32(rq.preference),
-		Held:        rq.throttledFraction,
+		Held:        rq.refusedAtRoot,
 		Repeat:      rq.repeatProbability,
 	}
 	if rq.arrivals > 0 {
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -41,6 +41,7 @@
 	"apricotrudder.dev/apricotd/internal/process/retrylimiter"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/inheritor"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
@@ -125,6 +126,9 @@
 		Appraiser *appraiser.Appraiser
 		// Ranker determines the rank of the own backend server's calls.
 		Ranker *ranker.Ranker
+		// Inheritor determines what was refused at the roots of the own backend
+		// server's calls.
+		Inheritor *inheritor.Inheritor
 		// RanksCalls says whether calls get the rank of their tree if routes have
 		// different ranks.
 		RanksCalls bool
@@ -155,7 +159,7 @@
 		version           uint64
 		rank              int
 		preference        int           // order within the rank, by organisation
-		throttledFraction float64       // fraction of the requests of its route and rank that is throttled
+		refusedAtRoot     float64       // fraction of the demand on its bottleneck that was refused when its tree was admitted
 		stated            time.Duration // how long the caller will wait, as it states
 		deadline          time.Time
 		fields            []*linkwire.Field
@@ -301,14 +305,18 @@
 			rq.rank, rq.hasTreeRank = rank, true
 			p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_calls_ranked_total{rank="%d"}`, rank)).Inc()
 		}
-		rq.throttledFraction = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
+		refused, ok := p.Inheritor.RefusedFraction(rq.route.Name)
+		if !ok {
+			refused = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
+		}
+		rq.refusedAtRoot = refused
 		return nil
 	}
 	fraction, overload := p.Throttler.ThrottleFraction(rq.route.Name, rq.rank)
 	if overload.Bottleneck != "" {
 		p.Postponer.ObserveExcess(rq.route.Name, overload.Excess)
 	}
-	rq.throttledFraction = fraction
+	rq.refusedAtRoot = max(0, overload.Excess)
 	if tables.HasRanks() && len(p.Throttler.OtherPools(rq.route.Name)) > 0 {
 		p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_shared_pool_requests_total{route=%q}`, rq.route.Name)).Inc()
 	}
@@ -395,6 +403,7 @@
 		}
 		overload := p.Throttler.Estimate(call.Name)
 		overload.Excess *= min(1, call.PerRun)
+		overload.RequestsPerRun = call.PerRun * overload.Weight()
 		if overload.Bottleneck != "" && overload.Excess > greatest.Excess {
 			greatest = overload
 		}
--- a/apricotd/mesher/build.go
+++ b/apricotd/mesher/build.go
@@ -26,6 +26,7 @@
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/process/tuner"
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/inheritor"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
@@ -85,6 +86,7 @@
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
 	n.ranker = &ranker.Ranker{Calls: n.correlator.Calls}
+	n.inheritor = &inheritor.Inheritor{Calls: n.correlator.Calls}
 	n.forecaster = &forecaster.Forecaster{}
 	n.quarantine = &quarantiner.Quarantiner{}
 	n.warmer = &warmer.Warmer{Overshoot: s.Backend.ColdOvershoot, Slack: s.Backend.ColdSlack, Log: n.Log}
@@ -118,6 +120,7 @@
 		Tuner:         &tuner.Tuner{},
 		Correlator:    n.correlator,
 		Ranker:        n.ranker,
+		Inheritor:     n.inheritor,
 		Forecaster:    n.forecaster,
 		Quarantine:    n.quarantine,
 		Noticer:       n.noticer,
@@ -241,6 +244,7 @@
 		Correlator:  n.correlator,
 		Appraiser:   n.appraiser,
 		Ranker:      n.ranker,
+		Inheritor:   n.inheritor,
 		RanksCalls:  s.Overload.CallRanks != never,
 		Forecaster:  n.forecaster,
 		Postponer:   &postponer.Postponer{Disabled: s.Overload.Postponement == never},
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -50,6 +50,7 @@
 	"apricotrudder.dev/apricotd/internal/process/reserver"
 	"apricotrudder.dev/apricotd/internal/process/timekeeper"
 	"apricotrudder.dev/apricotd/internal/request/forecaster"
+	"apricotrudder.dev/apricotd/internal/request/inheritor"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/proxier"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
@@ -161,6 +162,7 @@
 	estimator     *estimator.Estimator
 	correlator    *correlator.Correlator
 	ranker        *ranker.Ranker
+	inheritor     *inheritor.Inheritor
 	forecaster    *forecaster.Forecaster
 	memory        *reserver.Reserver // the account of what requests occupy
 	quarantine    *quarantiner.Quarantiner
