Reader of the configuration service: versions are ordered by era

Cause: a service restored from a copy gives the version of a lost change out again. Nodes tell versions apart by their numbers alone, so the reader took the next change for what it had, and the nodes went on accepting a key that had been replaced.

Change: the service states the era in which a version was written, and is asked for the changes after a version of an era. Behind the reader a version is one number, era * 10^12 + version, so the protocol between nodes and the fence of leases stay as they are, and peers of the version before follow. A change of another era is not applied to the values held; the folder is read whole. An era that rises by more than 1,000 is refused. The stand-in of the service states eras; its Restore raises them. A service without eras is as before.

A read that leads to no installed state no longer confirms the installed one, unless it shows the same version.

--- a/apricotd/internal/process/node/fleet_test.go
+++ b/apricotd/internal/process/node/fleet_test.go
@@ -54,6 +54,8 @@
 		// setUpBackend, if set, may configure a VM's backend server before its
 		// first start.
 		setUpBackend func(id string, m *machine)
+		// setUpNode, if set, may configure a VM's node before each start.
+		setUpNode func(id string, n *Node)
 	}
 
 	// A machine is one VM with a backend server and its node.
@@ -237,6 +239,9 @@
 		Listen: f.network.Listen,
 		Dial:   dial,
 	}
+	if f.setUpNode != nil {
+		f.setUpNode(id, m.node)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.done = make(chan struct{})
--- a/apricotd/internal/process/spreader/platform.go
+++ b/apricotd/internal/process/spreader/platform.go
@@ -22,7 +22,16 @@
 	VMsFolder    Folder = "vms"
 )
 
-const maxResponseBytes = 64 << 20
+const (
+	maxResponseBytes = 64 << 20
+	// versionsPerEra is the number of versions that fit into one era; a decimal power,
+	// so that both parts of a version are readable.
+	versionsPerEra = 1_000_000_000_000
+	// maxEra keeps versions within 64 bits.
+	maxEra = 10_000_000
+	// maxEraStep is the greatest credible rise of the era between two versions.
+	maxEraStep = 1000
+)
 
 type (
 	// A Folder is the name of a set of values that is read in one call and has
@@ -33,18 +42,27 @@
 	Change struct {
 		// From is the version that the change applies to. It is 0 if Values
 		// holds the whole folder.
-		From    uint64            `json:"from"`
-		Version uint64            `json:"version"`
+		From    uint64 `json:"from"`
+		Version uint64 `json:"version"`
+		// Era is the era in which Version was written. A platform that is restored
+		// from a copy begins a new one, as the copy's versions are given out again.
+		Era     uint64            `json:"era"`
 		Values  map[string]string `json:"values,omitempty"`
 		Removed []string          `json:"removed,omitempty"`
 	}
 
+	// A Position is the version of a folder as the platform states it.
+	Position struct {
+		Era     uint64
+		Version uint64
+	}
+
 	// A Platform is a read-only client of the configuration service.
 	Platform interface {
 		// Read returns the changes of a folder after the given version. If
 		// there are none, it waits for one, for at most wait, and then returns
 		// a Change with the same version.
-		Read(ctx context.Context, folder Folder, after uint64, wait time.Duration) (*Change, error)
+		Read(ctx context.Context, folder Folder, after Position, wait time.Duration) (*Change, error)
 	}
 
 	// An HTTPPlatform is a Platform that uses HTTP.
@@ -61,6 +79,21 @@
 
 var _ Platform = (*HTTPPlatform)(nil)
 
+// version returns the number by which nodes order what the platform has published:
+// first by era, then by the platform's version. Versions of the first era, 0, are
+// the platform's own, which is all that nodes and platforms without eras know.
+func (p Position) version() (uint64, error) {
+	switch {
+	case p.Era == 0:
+		return p.Version, nil
+	case p.Era > maxEra:
+		return 0, fmt.Errorf("got era %d, want at most %d", p.Era, uint64(maxEra))
+	case p.Version >= versionsPerEra:
+		return 0, fmt.Errorf("got version %d in era %d, want a lower one than %d", p.Version, p.Era, uint64(versionsPerEra))
+	}
+	return p.Era*versionsPerEra + p.Version, nil
+}
+
 // Start creates the HTTP client. It must be called before Read.
 func (p *HTTPPlatform) Start() {
 	if p.Dial == nil {
@@ -83,7 +116,7 @@
 }
 
 // Read implements Platform. If a call fails, the next one uses the next address.
-func (p *HTTPPlatform) Read(ctx context.Context, folder Folder, after uint64, wait time.Duration) (*Change, error) {
+func (p *HTTPPlatform) Read(ctx context.Context, folder Folder, after Position, wait time.Duration) (*Change, error) {
 	i := p.current.Load()
 	change, err := p.read(ctx, p.Addresses[int(i)%len(p.Addresses)], folder, after, wait)
 	if err != nil {
@@ -93,11 +126,12 @@
 	return change, nil
 }
 
-func (p *HTTPPlatform) read(ctx context.Context, address netip.AddrPort, folder Folder, after uint64, wait time.Duration) (*Change, error) {
+func (p *HTTPPlatform) read(ctx context.Context, address netip.AddrPort, folder Folder, after Position, wait time.Duration) (*Change, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout+wait)
 	defer cancel()
 	query := url.Values{
-		"after":  {strconv.FormatUint(after, 10)},
+		"after":  {strconv.FormatUint(after.Version, 10)},
+		"era":    {strconv.FormatUint(after.Era, 10)},
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	target := url.URL{Scheme: "http", Host: address.String(), Path: "/v1/folders/" + string(folder), RawQuery: query.Encode()}
--- a/apricotd/internal/process/spreader/reader.go
+++ b/apricotd/internal/process/spreader/reader.go
@@ -15,6 +15,7 @@
 	s       *Spreader
 	folder  Folder
 	version uint64            // version of values
+	after   Position          // version of values as the platform states it
 	values  map[string][]byte // nil if the whole folder has not been read yet
 	failing bool              // the last read failed
 	// install validates the values and, if they are valid, makes them the
@@ -130,36 +131,51 @@
 
 func (r *folderReader) read(ctx context.Context, wait time.Duration) error {
 	requestedAt := timekeeper.Now()
-	change, err := r.s.Platform.Read(ctx, r.folder, r.version, wait)
+	change, err := r.s.Platform.Read(ctx, r.folder, r.after, wait)
 	if err != nil {
 		if ctx.Err() == nil {
 			r.recordFailure(err.Error())
 		}
 		return err
 	}
-	if installed := r.installedVersion(); change.Version < max(r.version, installed) {
-		r.s.Audit.RecordRefusal("staleAnswer", fmt.Sprintf("folder %s: got version %d, want at least %d", r.folder, change.Version, max(r.version, installed)), change.Version)
+	version, err := r.versionOf(change)
+	if err != nil {
+		r.recordFailure(err.Error())
+		return fmt.Errorf("read folder %s: %w", r.folder, err)
+	}
+	if installed := r.installedVersion(); version < max(r.version, installed) {
+		r.s.Audit.RecordRefusal("staleAnswer", fmt.Sprintf("folder %s: got version %d, want at least %d", r.folder, version, max(r.version, installed)), version)
 		r.recordFailure("platform returned an older version than this node has")
-		return fmt.Errorf("read folder %s: got version %d, want at least %d", r.folder, change.Version, installed)
+		return fmt.Errorf("read folder %s: got version %d, want at least %d", r.folder, version, installed)
 	}
-	r.applyChange(change)
+	isApplied := r.applyChange(change, version)
 	r.recordRecovery()
-	if r.folder == ConfigFolder {
-		r.s.confirm(r.s.Self.DataCentre, requestedAt, r.installedVersion())
+	if installed := r.installedVersion(); r.folder == ConfigFolder && (isApplied || version == installed) {
+		r.s.confirm(r.s.Self.DataCentre, requestedAt, installed)
 	}
 	return nil
 }
 
-// applyChange applies a change to the values and installs the result.
-func (r *folderReader) applyChange(c *Change) {
-	if r.values != nil && c.Version == r.version {
-		return
+// versionOf returns the version of a change in the order of the nodes. An era that
+// rises too far is an error, because no later version could follow it.
+func (r *folderReader) versionOf(c *Change) (uint64, error) {
+	if installed := r.installedVersion(); installed > 0 && c.Era > installed/versionsPerEra+maxEraStep {
+		return 0, fmt.Errorf("got era %d after version %d; the rise is not credible", c.Era, installed)
 	}
-	if r.values == nil && c.From > 0 {
-		// An incremental change cannot be applied without a base, so the next
-		// read requests the whole folder.
-		r.version = 0
-		return
+	return Position{Era: c.Era, Version: c.Version}.version()
+}
+
+// applyChange applies a change to the values and installs the result. It reports
+// false if it could not, because the change is not one from these values.
+func (r *folderReader) applyChange(c *Change, version uint64) bool {
+	if r.values != nil && version == r.version {
+		return true
+	}
+	if c.From > 0 && (r.values == nil || c.From != r.after.Version || c.Era != r.after.Era) {
+		// The next read requests the whole folder. In a new era, From may be a version
+		// that was given out twice.
+		r.version, r.after, r.values = 0, Position{}, nil
+		return false
 	}
 	next := make(map[string][]byte, len(r.values)+len(c.Values))
 	if c.From > 0 {
@@ -174,8 +190,9 @@
 		delete(next, name)
 	}
 	r.values = next
-	r.version = c.Version
-	r.install(c.Version, next)
+	r.version, r.after = version, Position{Era: c.Era, Version: c.Version}
+	r.install(version, next)
+	return true
 }
 
 func (r *folderReader) recordFailure(detail string) {
--- a/apricotd/internal/process/spreader/rowset.go
+++ b/apricotd/internal/process/spreader/rowset.go
@@ -65,10 +65,10 @@
 }
 
 // since returns the delta from the given version to the current one. If that
-// version is 0 or too old, the delta holds all rows.
+// version is 0, too old or perhaps of another history, the delta holds all rows.
 func (s *rowset) since(version uint64) *peerwire.Delta {
 	d := &peerwire.Delta{ToVersion: s.version, Digest: bytes.Clone(s.digest[:])}
-	if len(s.recent) == 0 || version == 0 || version < s.recent[0].from {
+	if len(s.recent) == 0 || version == 0 || version < s.recent[0].from || !s.mayFollow(version) {
 		for key, value := range s.rows {
 			d.Rows = append(d.Rows, &peerwire.Row{Key: key, Value: value})
 		}
@@ -90,6 +90,13 @@
 	return d
 }
 
+// mayFollow reports whether the changes since a version apply to it. A node without
+// eras may hold one that the restored platform gave out again.
+func (s *rowset) mayFollow(version uint64) bool {
+	return version/versionsPerEra == s.version/versionsPerEra ||
+		slices.ContainsFunc(s.recent, func(c change) bool { return c.from == version || c.to == version })
+}
+
 // appendRow adds the current value of a row, or its removal, to a delta.
 func (s *rowset) appendRow(d *peerwire.Delta, key string) {
 	if value, ok := s.rows[key]; ok {
--- a/standin/publisher/publisher.go
+++ b/standin/publisher/publisher.go
@@ -42,10 +42,19 @@
 	Change struct {
 		From    uint64            `json:"from"` // 0 if Values is the whole folder
 		Version uint64            `json:"version"`
+		Era     uint64            `json:"era"` // in which Version was written
 		Values  map[string]string `json:"values,omitempty"`
 		Removed []string          `json:"removed,omitempty"`
 	}
 
+	// A Position is the version of a folder that a client holds.
+	Position struct {
+		Number uint64
+		// Era is nil if the client does not know eras; then versions are told apart by
+		// their numbers alone.
+		Era *uint64
+	}
+
 	// A Publisher holds the published folders. Its zero value is ready to use.
 	Publisher struct {
 		mu      sync.Mutex
@@ -57,12 +66,14 @@
 
 	folder struct {
 		versions []version     // in ascending order
+		era      uint64        // number of restorations
 		frozen   *version      // if set, returned instead of the newest version
 		changed  chan struct{} // closed and replaced at every change
 	}
 
 	version struct {
 		number uint64
+		era    uint64 // in which it was written
 		values map[string]string
 	}
 )
@@ -74,7 +85,7 @@
 	defer p.mu.Unlock()
 	f := p.folder(name)
 	newest := f.newest()
-	next := version{number: newest.number + 1, values: maps.Clone(newest.values)}
+	next := version{number: newest.number + 1, era: f.era, values: maps.Clone(newest.values)}
 	if next.values == nil {
 		next.values = make(map[string]string)
 	}
@@ -121,12 +132,13 @@
 }
 
 // Restore brings a folder back from an older copy: its last n versions are lost, and
-// their numbers are given out again.
+// their numbers are given out again, in a new era. Versions in the copy retain theirs.
 func (p *Publisher) Restore(name string, n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f := p.folder(name)
 	f.versions = f.versions[:max(0, len(f.versions)-n)]
+	f.era++
 	f.notify()
 }
 
@@ -146,7 +158,7 @@
 
 // Read returns the changes to a folder since a version. If there are none, it
 // waits for a change, at most for wait.
-func (p *Publisher) Read(ctx context.Context, name string, after uint64, wait time.Duration) (*Change, error) {
+func (p *Publisher) Read(ctx context.Context, name string, after Position, wait time.Duration) (*Change, error) {
 	p.mu.Lock()
 	p.calls++
 	delay := p.delay
@@ -158,7 +170,7 @@
 	}
 	for {
 		c, changed, err := p.poll(name, after)
-		if err != nil || c.Version != after || wait == 0 {
+		if err != nil || !after.is(c.Version, c.Era) || wait == 0 {
 			return c, err
 		}
 		select {
@@ -171,16 +183,23 @@
 	}
 }
 
-// ServeHTTP serves GET /v1/folders/NAME?after=VERSION&waitMs=N.
+// ServeHTTP serves GET /v1/folders/NAME?after=VERSION&era=ERA&waitMs=N.
 func (p *Publisher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	name, ok := strings.CutPrefix(r.URL.Path, pathPrefix)
 	if !ok || r.Method != http.MethodGet {
 		http.Error(w, "want GET "+pathPrefix+"NAME", http.StatusNotFound)
 		return
 	}
-	after, errAfter := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	waitMs, errWait := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
-	if err := errors.Wrap(firstError(errAfter, errWait), "parse query"); err != nil {
+	query := r.URL.Query()
+	number, errAfter := strconv.ParseUint(query.Get("after"), 10, 64)
+	waitMs, errWait := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	after, errEra := Position{Number: number}, error(nil)
+	if query.Has("era") {
+		var era uint64
+		era, errEra = strconv.ParseUint(query.Get("era"), 10, 64)
+		after.Era = &era
+	}
+	if err := errors.Wrap(firstError(errAfter, errWait, errEra), "parse query"); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -197,7 +216,7 @@
 
 // poll returns the changes to a folder since a version, without waiting, and a
 // channel that is closed at the next change.
-func (p *Publisher) poll(name string, after uint64) (*Change, <-chan struct{}, error) {
+func (p *Publisher) poll(name string, after Position) (*Change, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.stopped {
@@ -238,18 +257,18 @@
 
 // changeSince returns the difference between an earlier version and v, or the
 // whole folder if the earlier version is no longer kept.
-func (f *folder) changeSince(v version, after uint64) *Change {
-	c := &Change{Version: v.number}
-	if after == v.number && after > 0 {
-		c.From = after
+func (f *folder) changeSince(v version, after Position) *Change {
+	c := &Change{Version: v.number, Era: v.era}
+	if after.Number > 0 && after.is(v.number, v.era) {
+		c.From = after.Number
 		return c
 	}
 	old, ok := f.find(after)
-	if !ok || after > v.number {
+	if !ok || after.Number > v.number {
 		c.Values = maps.Clone(v.values)
 		return c
 	}
-	c.From = after
+	c.From = after.Number
 	c.Values = make(map[string]string)
 	for name, value := range v.values {
 		if before, ok := old.values[name]; !ok || before != value {
@@ -264,17 +283,22 @@
 	return c
 }
 
-func (f *folder) find(number uint64) (version, bool) {
-	if len(f.versions) == 0 || number < f.versions[0].number {
+func (f *folder) find(p Position) (version, bool) {
+	if len(f.versions) == 0 || p.Number < f.versions[0].number {
 		return version{}, false
 	}
-	i := number - f.versions[0].number
-	if i >= uint64(len(f.versions)) {
+	i := p.Number - f.versions[0].number
+	if i >= uint64(len(f.versions)) || !p.is(f.versions[i].number, f.versions[i].era) {
 		return version{}, false
 	}
 	return f.versions[i], true
 }
 
+// is reports whether p is the version with the given number and era.
+func (p Position) is(number, era uint64) bool {
+	return p.Number == number && (p.Era == nil || *p.Era == era)
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
