Identifier: settings count anew for an id that returns after another one

Callers: a server whose id the settings had once contradicted got no request of its pool until the list had it, also when it had started anew after another server at its address.

Cause: a sighting kept the contradiction for good, because the id could have been reported late, by a response of the server before. For the same reason settings that had been read while another server was there counted for an id which was first seen before that, and returned: they name the pool of the other server.

Change: a response to a request that was sent before the present id was first reported doesn't change the id; an earlier server may have sent it. So an id that is reported after another one is there, and settings must be read SettingsLag or more after that to show its pool or to contradict for good. Earlier ones that contradict end the evidence only for the present.

Before (with the new parameter ignored): TestEvidenceOfReturnedID and 6 lines of TestEvidence fail.

--- a/apricotd/internal/process/identifier/concurrent_test.go
+++ b/apricotd/internal/process/identifier/concurrent_test.go
@@ -41,7 +41,7 @@
 				id := fmt.Sprint(rand.N(20))
 				switch rand.N(6) {
 				case 0:
-					i.SetReported(id)
+					i.SetReported(id, time.Now())
 				case 1:
 					i.Reset()
 				case 2:
--- a/apricotd/internal/process/identifier/identifier.go
+++ b/apricotd/internal/process/identifier/identifier.go
@@ -15,9 +15,14 @@
 //     before the id was first seen, so the address cannot have passed to another pool in
 //     between.
 //   - The settings name the pool, and were read SettingsLag or more after the id was first
-//     seen, so they would name another one by then. This ends when they name another one
-//     all the same. A node that is stopping does not begin to use this evidence, since its
-//     server may have ended and its settings be the last ones.
+//     reported, or reported again after another one, so they would name another pool by
+//     then. This ends when they name another one all the same; then the settings are no
+//     evidence about the id until it is reported again after another one. A node that is
+//     stopping does not begin to use this evidence, since its server may have ended and its
+//     settings be the last ones.
+//
+// A response to a request that was sent before the last id was first reported may be that
+// of an earlier server. The id in it is ignored.
 //
 // While no id has been reported, the id is that of a listed server at the address.
 //
@@ -25,7 +30,7 @@
 //
 //	i := &identifier.Identifier{Address: address, Settings: settings, List: list, ...}
 //	identity, ok := i.Identify()   // once for each request, which must name identity.Server
-//	i.SetReported(id)              // the server reported its id
+//	i.SetReported(id, sentAt)      // the server reported its id in response to a request
 //	i.Confirm(identity, sentAt)    // the server ran a request that named the id
 //	i.Reset()                      // the server could not be reached
 //
@@ -96,25 +101,30 @@
 		// the list. It may be nil.
 		RemovedEntry func(id string) (pool string, ok bool)
 
-		mu         sync.Mutex
-		reported   string
-		sightings  map[string]*sighting // by id
-		uses       uint64               // of sightings; orders them by their last use
-		stopping   bool
-		lastListed string // last id that was found on the list
+		mu       sync.Mutex
+		reported string
+		// lastReported is the id that was reported last, also after Reset.
+		lastReported string
+		sightings    map[string]*sighting // by id
+		uses         uint64               // of sightings; orders them by their last use
+		stopping     bool
+		lastListed   string // last id that was found on the list
 	}
 
 	// A sighting is what is known about a server that has been at the address.
 	sighting struct {
 		firstSeen timekeeper.Instant
-		aliveAt   timekeeper.Instant // when the last request that it answered was sent; zero: none
-		pool      string             // empty: not known
-		evidence  Evidence
-		since     timekeeper.Instant // of the evidence
-		searched  *lister.List       // list with which RemovedEntry was last asked
-		lastUse   uint64
-		// contradicted says that the settings have named several pools since the server
-		// was first seen, the first of which was taken for its own.
+		// presentSince is when the id was first reported, or reported again after another
+		// one; zero: never.
+		presentSince timekeeper.Instant
+		aliveAt      timekeeper.Instant // when the last request that it answered was sent; zero: none
+		pool         string             // empty: not known
+		evidence     Evidence
+		since        timekeeper.Instant // of the evidence
+		searched     *lister.List       // list with which RemovedEntry was last asked
+		lastUse      uint64
+		// contradicted says that the settings have named several pools since presentSince,
+		// the first of which was taken for that of the server.
 		contradicted bool
 	}
 )
@@ -181,7 +191,7 @@
 			return
 		}
 	}
-	if pool, readAt := i.Settings(); !i.stopping && !s.contradicted && readAt.Sub(s.firstSeen) >= i.SettingsLag {
+	if pool, readAt := i.Settings(); !i.stopping && !s.contradicted && readAt.Sub(s.presentSince) >= i.SettingsLag {
 		s.establish(pool, Settings, readAt)
 	}
 }
@@ -190,7 +200,8 @@
 func (i *Identifier) dropContradicted(s *sighting) {
 	if pool, readAt := i.Settings(); s.evidence == Settings && pool != s.pool {
 		s.establish("", None, readAt)
-		s.contradicted = true
+		// Settings that are read earlier may be those of the server before this one.
+		s.contradicted = readAt.Sub(s.presentSince) >= i.SettingsLag
 	}
 }
 
@@ -209,7 +220,7 @@
 	case s == nil || i.stopping:
 		return 0, false
 	case identity.Evidence == None && !s.contradicted:
-		return max(0, i.SettingsLag-timekeeper.Now().Sub(s.firstSeen)), true
+		return max(0, i.SettingsLag-timekeeper.Now().Sub(s.presentSince)), true
 	}
 	return 0, identity.Evidence == Settings
 }
@@ -237,16 +248,24 @@
 	return s, isListed, i.lastListed == id
 }
 
-// SetReported records the id that the server reported and returns whether it is
-// new. An empty id is ignored.
-func (i *Identifier) SetReported(id string) bool {
+// SetReported records the id that the server reported in response to a request that was
+// sent at a time, and returns whether it is new. An empty id is ignored, and one that an
+// earlier server may have reported.
+func (i *Identifier) SetReported(id string, sentAt time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if id == "" || i.reported == id {
 		return false
 	}
+	if id != i.lastReported {
+		if last := i.sightings[i.lastReported]; last != nil && timekeeper.At(sentAt).Sub(last.presentSince) < 0 {
+			return false
+		}
+		i.lastReported = id
+		s := i.sight(id)
+		s.presentSince, s.contradicted = timekeeper.Now(), false
+	}
 	i.reported = id
-	i.sight(id)
 	return true
 }
 
@@ -319,7 +338,7 @@
 func (i *Identifier) forgetLeastRecent() {
 	least := ""
 	for id, s := range i.sightings {
-		if id != i.reported && (least == "" || s.lastUse < i.sightings[least].lastUse) {
+		if id != i.lastReported && (least == "" || s.lastUse < i.sightings[least].lastUse) {
 			least = id
 		}
 	}
--- a/apricotd/internal/process/identifier/identifier_test.go
+++ b/apricotd/internal/process/identifier/identifier_test.go
@@ -34,8 +34,7 @@
 	}
 }
 
-// TestEvidenceOfReturnedID is a test of its own because KNOWN-RED.txt lists it. Guards
-// against an id that is never used again once settings have contradicted it, although
+// Guards against an id that is never used again once settings have contradicted it, although
 // another server has been at the address and one with the id has started anew.
 func TestEvidenceOfReturnedID(t *testing.T) {
 	playEvidence(t, "report:a 3s settings:p want:a/p/settings 2s settings:q want:a//none report:b 3s settings:q want:b/q/settings 3s settings:p report:a 5s settings:p want:a/p/settings")
@@ -74,12 +73,18 @@
 	id, pool, _ := strings.Cut(argument, "/")
 	switch verb {
 	case "report":
-		s.identifier.SetReported(id)
+		s.identifier.SetReported(id, time.Now())
+	case "late":
+		age, err := time.ParseDuration(pool)
+		if err != nil {
+			s.t.Fatalf("got step %q, want late:ID/AGE", step)
+		}
+		s.identifier.SetReported(id, time.Now().Add(-age))
 	case "answer":
 		identity, _ := s.identifier.Identify()
 		s.identifier.Confirm(identity, time.Now())
 	case "health":
-		s.identifier.SetReported(id)
+		s.identifier.SetReported(id, time.Now())
 		s.identifier.Confirm(Identity{Server: id}, time.Now())
 	case "reset":
 		s.identifier.Reset()
--- a/apricotd/internal/request/invoker/identity_test.go
+++ b/apricotd/internal/request/invoker/identity_test.go
@@ -48,16 +48,20 @@
 
 	// identityChanges are what other requests, probes and the syncer do meanwhile.
 	identityChanges = map[string]func(l *scriptedList, i *identifier.Identifier){
-		"new id reported":                     func(_ *scriptedList, i *identifier.Identifier) { i.SetReported("i-b") },
-		"new id reported and listed":          func(l *scriptedList, i *identifier.Identifier) { l.list = both; i.SetReported("i-b") },
-		"new id listed, then reported":        func(l *scriptedList, i *identifier.Identifier) { l.list = after; i.SetReported("i-b") },
-		"old entry gone":                      func(l *scriptedList, _ *identifier.Identifier) { l.list = empty },
-		"old entry replaced":                  func(l *scriptedList, _ *identifier.Identifier) { l.list = after },
-		"id discarded":                        func(_ *scriptedList, i *identifier.Identifier) { i.Reset() },
-		"id discarded, old entry gone":        func(l *scriptedList, i *identifier.Identifier) { l.list = empty; i.Reset() },
-		"id discarded, old entry replaced":    func(l *scriptedList, i *identifier.Identifier) { l.list = after; i.Reset() },
-		"new id reported, both entries gone":  func(l *scriptedList, i *identifier.Identifier) { l.list = empty; i.SetReported("i-b") },
-		"new id reported and discarded again": func(l *scriptedList, i *identifier.Identifier) { l.list = after; i.SetReported("i-b"); i.Reset() },
+		"new id reported":                    func(_ *scriptedList, i *identifier.Identifier) { i.SetReported("i-b", time.Now()) },
+		"new id reported and listed":         func(l *scriptedList, i *identifier.Identifier) { l.list = both; i.SetReported("i-b", time.Now()) },
+		"new id listed, then reported":       func(l *scriptedList, i *identifier.Identifier) { l.list = after; i.SetReported("i-b", time.Now()) },
+		"old entry gone":                     func(l *scriptedList, _ *identifier.Identifier) { l.list = empty },
+		"old entry replaced":                 func(l *scriptedList, _ *identifier.Identifier) { l.list = after },
+		"id discarded":                       func(_ *scriptedList, i *identifier.Identifier) { i.Reset() },
+		"id discarded, old entry gone":       func(l *scriptedList, i *identifier.Identifier) { l.list = empty; i.Reset() },
+		"id discarded, old entry replaced":   func(l *scriptedList, i *identifier.Identifier) { l.list = after; i.Reset() },
+		"new id reported, both entries gone": func(l *scriptedList, i *identifier.Identifier) { l.list = empty; i.SetReported("i-b", time.Now()) },
+		"new id reported and discarded again": func(l *scriptedList, i *identifier.Identifier) {
+			l.list = after
+			i.SetReported("i-b", time.Now())
+			i.Reset()
+		},
 	}
 )
 
@@ -145,7 +149,7 @@
 func TestRejectedRequestIsSentUnderAnIDThatOthersHaveLearned(t *testing.T) {
 	learned := func(l *scriptedList, id *identifier.Identifier) {
 		l.list = lister.New(2, []*lister.Server{{ID: "i-a", Pool: "search", Address: address}, {ID: "i-b", Pool: "search", Address: address}})
-		id.SetReported("i-b")
+		id.SetReported("i-b", time.Now())
 	}
 	for reading := 1; reading <= 4; reading++ {
 		if ran := runWithChange(t, learned, true, reading); ran != 1 {
@@ -170,7 +174,7 @@
 		ListAge:  func() time.Duration { return 0 },
 	}
 	if reported {
-		id.SetReported("i-a")
+		id.SetReported("i-a", time.Now())
 	}
 	list.change = func() { change(list, id) }
 	e := &exchanger.Exchanger{Address: address, IDField: "Id", Dial: server.dial}
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -449,7 +449,7 @@
 func (i *Invoker) translateResponse(response exchanger.Response, identity identifier.Identity, sentAt time.Time) (result *linkwire.Result, idChanged bool) {
 	if response.Status == http.StatusMisdirectedRequest && response.Fields.Get(i.Names.Receipt) == "" {
 		actual := response.Fields.Get(i.Names.Server)
-		if i.Identifier.SetReported(actual) {
+		if i.Identifier.SetReported(actual, sentAt) {
 			i.logChange(identity.Server, actual)
 			i.OnNewServer(actual)
 		}
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -193,8 +193,9 @@
 }
 
 func (n *Node) probeOnce(ctx context.Context) {
+	sentAt := time.Now()
 	response, err := n.requestHealth(ctx)
-	if err != nil || !n.identifier.SetReported(response.Fields.Get(n.Names.Server)) {
+	if err != nil || !n.identifier.SetReported(response.Fields.Get(n.Names.Server), sentAt) {
 		return
 	}
 	identity, _ := n.identifier.Identify()
