Retry budget: a retry that reaches no backend server is not charged

Cause: the budget is for repeated arrivals at backend servers. TryRetry charged each further attempt of a request, also one that ended at a node without room.

Change: the proxier returns the retry if the request has reached no further server. It is taken out of the slot in which it was counted, so a window never gets back more than it counts.

TestReturnedRetriesAreNotCharged guards this.

--- a/apricotd/internal/process/retrylimiter/retrylimiter.go
+++ b/apricotd/internal/process/retrylimiter/retrylimiter.go
@@ -10,7 +10,8 @@
 //	l := &retrylimiter.Limiter{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50, Nodes: nodes}
 //	l.CountRequest(pool)    // a request was received
 //	l.ChargeCall(pool, 0.1) // a call that is a retry with this probability
-//	if l.TryRetry(pool, isCall) { ... } // one retry may be sent
+//	if retry, ok := l.TryRetry(pool, isCall); ok { ... } // one retry may be sent
+//	l.Return(retry)         // it has not reached a backend server
 package retrylimiter
 
 import (
@@ -50,6 +51,12 @@
 		pools map[string]*pool
 	}
 
+	// A Retry is a retry that a Limiter has allowed.
+	Retry struct {
+		pool string
+		slot int64 // in which it is counted
+	}
+
 	pool struct {
 		requests      counter
 		retries       counter
@@ -82,24 +89,28 @@
 	l.pool(name).retries.add(l.slot(), probability)
 }
 
-// TryRetry records a retry and returns true if the budget has room for it. isCall
-// is true for calls of backend servers.
-func (l *Limiter) TryRetry(name string, isCall bool) bool {
+// TryRetry records a retry if the budget has room for it, and reports whether it has.
+// isCall is true for calls of backend servers.
+func (l *Limiter) TryRetry(name string, isCall bool) (Retry, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	slot := l.slot()
 	p := l.pool(name)
-	limit := l.limit(p, slot)
-	if isCall {
-		limit = max(callFraction*limit, limit-p.callerRetries.sum(slot))
-	} else {
+	if !isCall {
 		p.callerRetries.add(slot, 1)
 	}
-	if p.retries.sum(slot)+1 > limit {
-		return false
+	if p.retries.sum(slot)+1 > l.limitFor(p, slot, isCall) {
+		return Retry{}, false
 	}
 	p.retries.add(slot, 1)
-	return true
+	return Retry{pool: name, slot: slot}, true
+}
+
+// Return takes back a retry that has not reached a backend server.
+func (l *Limiter) Return(r Retry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pool(r.pool).retries.remove(l.slot(), r.slot, 1)
 }
 
 // Remaining returns how many retries of each pool may be sent now.
@@ -114,6 +125,15 @@
 	return out
 }
 
+// limitFor returns the part of the limit that a retry may use.
+func (l *Limiter) limitFor(p *pool, slot int64, isCall bool) float64 {
+	limit := l.limit(p, slot)
+	if isCall {
+		return max(callFraction*limit, limit-p.callerRetries.sum(slot))
+	}
+	return limit
+}
+
 // limit returns this node's share of a pool's budget for the current window.
 func (l *Limiter) limit(p *pool, slot int64) float64 {
 	share := l.Allowance / float64(max(l.Nodes(), 1))
@@ -145,6 +165,14 @@
 	c.counts[slot%slots] += n
 }
 
+// remove takes back n events of the slot at, unless it has dropped out of the window.
+func (c *counter) remove(slot, at int64, n float64) {
+	c.advance(slot)
+	if slot-at < slots {
+		c.counts[at%slots] -= n
+	}
+}
+
 func (c *counter) sum(slot int64) float64 {
 	c.advance(slot)
 	n := 0.0
--- a/apricotd/internal/process/retrylimiter/retrylimiter_test.go
+++ b/apricotd/internal/process/retrylimiter/retrylimiter_test.go
@@ -1,6 +1,7 @@
 package retrylimiter
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 					fleet[(i*7+step)%nodes].CountRequest("p")
 				}
 				for i := range 4 * n {
-					if fleet[(i+step)%nodes].TryRetry("p", i%2 == 0) {
+					if _, ok := fleet[(i+step)%nodes].TryRetry("p", i%2 == 0); ok {
 						granted++
 					}
 				}
@@ -69,7 +70,7 @@
 	tryRetries := func(l *Limiter, n int, isCall bool) int {
 		granted := 0
 		for range n {
-			if l.TryRetry("p", isCall) {
+			if _, ok := l.TryRetry("p", isCall); ok {
 				granted++
 			}
 		}
@@ -105,7 +106,7 @@
 		}
 		granted := 0
 		for range 1000 {
-			if l.TryRetry("p", false) {
+			if _, ok := l.TryRetry("p", false); ok {
 				granted++
 			}
 		}
@@ -115,3 +116,44 @@
 		}
 	})
 }
+
+// Guards against a budget that is spent on retries which reach no backend server, as when
+// a node has no room, and against a window that gets back more than was counted in it.
+func TestReturnedRetriesAreNotCharged(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		l := &Limiter{Window: 10 * time.Second, Ratio: 0.2, Allowance: 0, Nodes: func() int { return 1 }}
+		for range 500 {
+			l.CountRequest("p")
+		}
+		budget := int(ratioFraction * 0.2 * 500)
+		var sent []Retry
+		for {
+			r, ok := l.TryRetry("p", false)
+			if !ok {
+				break
+			}
+			sent = append(sent, r)
+		}
+		if len(sent) != budget {
+			t.Fatalf("retries: got %d, want %d", len(sent), budget)
+		}
+		time.Sleep(3 * time.Second)
+		for _, r := range sent[:30] {
+			l.Return(r)
+		}
+		if got := math.Round(l.Remaining()["p"]); got != 30 {
+			t.Errorf("remaining after 30 returns: got %g, want 30", got)
+		}
+		time.Sleep(7 * time.Second)
+		l.Return(sent[30])
+		if got := l.Remaining()["p"]; got != 0 {
+			t.Errorf("remaining without requests: got %g, want 0", got)
+		}
+		for range 500 {
+			l.CountRequest("p")
+		}
+		if got := math.Round(l.Remaining()["p"]); got != float64(budget) {
+			t.Errorf("remaining in the next window: got %g, want %d", got, budget)
+		}
+	})
+}
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -10,6 +10,7 @@
 	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/connection/linker"
 	"apricotrudder.dev/apricotd/internal/process/picker"
+	"apricotrudder.dev/apricotd/internal/process/retrylimiter"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/version/lister"
@@ -34,12 +35,17 @@
 		if !ok {
 			return last
 		}
-		if !p.mayAttempt(rq, choice) {
+		retry, ok := p.mayAttempt(rq, choice)
+		if !ok {
 			choice.Done(picker.Report{Result: picker.Abandoned})
 			return last
 		}
 		tried[choice.Server.ID] = true
+		arrivals := rq.arrivals
 		last = p.attempt(ctx, rq, choice)
+		if arrivals > 0 && rq.arrivals == arrivals {
+			p.Budget.Return(retry)
+		}
 		if ctx.Err() != nil || !mayRetry(rq, last) {
 			return last
 		}
@@ -60,17 +66,17 @@
 	}
 }
 
-// mayAttempt reports whether the request may be sent to a server. Attempts are
-// not limited here until one has reached a backend server. Each further one must
+// mayAttempt reports whether the request may be sent to a server, and returns the
+// retry that is charged for it, if any. Attempts are not limited here until one has reached a backend server. Each further one must
 // be within the route's limit on attempts and is charged to the fleet's retry
 // budget. A call is not retried on a server that would probably reject it: the
 // request that makes the call needs several calls to succeed.
-func (p *Proxier) mayAttempt(rq *request, c *picker.Choice) bool {
+func (p *Proxier) mayAttempt(rq *request, c *picker.Choice) (retrylimiter.Retry, bool) {
 	if rq.arrivals == 0 {
-		return true
+		return retrylimiter.Retry{}, true
 	}
 	if rq.arrivals >= rq.route.MaxAttempts || rq.isCall && c.FailureRate() > maxFailureFraction {
-		return false
+		return retrylimiter.Retry{}, false
 	}
 	return p.Budget.TryRetry(rq.pool, rq.isCall)
 }
