Picker: servers that fail get no requests that the retry budget doesn't cover

Cause: the picker prefers the own data centre up to a utilisation of 0.8, and a failure rate of 0.4 adds 0.8, so the nodes of that data centre went on sending calls to the failing server after their retry budget was used up, and lost half of these. The shares of other nodes lay unused, but that is the smaller part.

Change: the picker asks the budget whether it covers the failures that it expects of the node's requests in progress. If not, the servers that fail more than a tenth get nothing as long as one that doesn't has room, at whatever distance; for calls also if it has a short queue. That ends when most servers of the pool fail requests, as in an overload: the few others wouldn't bear the requests of all nodes.

--- a/apricotd/internal/process/picker/completion.go
+++ b/apricotd/internal/process/picker/completion.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/cost/scorer"
-	"apricotrudder.dev/apricotd/internal/process/decayer"
 	"apricotrudder.dev/apricotd/version/lister"
 )
 
@@ -79,7 +78,7 @@
 		Backlog:     r.backlog,
 		Ratio:       r.ratio,
 		Slowdown:    r.slowdown,
-		FailureRate: r.failureRate * decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife),
+		FailureRate: r.recentFailureRate(now),
 		Distance:    d,
 		Travel:      p.travel[d],
 	}
--- a/apricotd/internal/process/picker/explain.go
+++ b/apricotd/internal/process/picker/explain.go
@@ -29,16 +29,19 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	byCompletion = p.ByCompletion && p.statesSlowdown(servers, now)
-	p.evaluate(servers, tried, rq, now)
+	preferred := p.preferSound(servers, tried, rq, now)
+	p.evaluate(preferred, tried, rq, now)
 	shares := scorer.Shares(p.scores)
-	least := p.leastUtilised(servers, tried, rq, now)
+	least := p.leastUtilised(preferred, tried, rq, now)
 	scored := 0
 	for _, s := range servers {
 		e := Explanation{Server: s, Age: p.view(s, now).Age, Utilisation: p.utilisation(s, now)}
 		isCandidate := scored < len(p.candidates) && p.candidates[scored].server == s
 		switch {
 		case !isCandidate:
-			e.Reason = p.reasonAgainst(s, tried, rq, now)
+			if e.Reason = p.reasonAgainst(s, tried, rq, now); e.Reason == usable {
+				e.Reason = "fails many requests, or is full while another one does"
+			}
 		case byCompletion:
 			e.Score, e.Share = p.scores[scored], shares[scored]
 		case s == least:
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -6,7 +6,8 @@
 // has room, and both to other regions, because traffic between data centres and
 // regions is charged. Among servers at the same distance the least utilised one is
 // selected. Recent failures add to the utilisation, so a server that fails many
-// requests gets few until it recovers.
+// requests gets few until it recovers. It gets none while the retry budget does not cover
+// the failures to be expected and another server has room, at whatever distance.
 //
 // If ByCompletion is set and servers of the pool state how long work takes there at
 // present, the server is instead the one at which the request is expected to be completed
@@ -88,6 +89,8 @@
 	// coldUtilisation is the utilisation of an idle server that is cold and limits its
 	// rate: warm servers of the region are used first while they have room.
 	coldUtilisation = 0.85
+	// usable is what Describe returns for a server that can be selected.
+	usable = "usable"
 	// distanceLevels counts local data centre, local region and other regions.
 	distanceLevels = 3
 )
@@ -156,6 +159,9 @@
 		// ByCompletion selects servers by expected completion in pools whose servers
 		// state how long work takes there at present.
 		ByCompletion bool
+		// CoversRepeats reports whether the retry budget covers a number of repeats of
+		// requests to a pool. If nil, it does.
+		CoversRepeats func(pool string, isCall bool, n float64) bool
 
 		mu      sync.Mutex
 		records map[string]*serverRecord // by server id
@@ -165,6 +171,7 @@
 		// they are evacuated, of which this node may not have heard.
 		evacuatedUntil map[string]time.Time
 		travel         [distanceLevels]time.Duration // there and back; 0: unknown
+		sound          []*lister.Server              // reused by each choice
 		candidates     []candidate                   // reused by each choice
 		scores         []scorer.Score                // reused by each choice
 	}
@@ -230,7 +237,9 @@
 	if len(servers) > 0 && len(tried) == 0 {
 		p.recordHomes(servers[0].Pool, rq, now)
 	}
-	if p.ByCompletion && p.statesSlowdown(servers, now) {
+	byCompletion := p.ByCompletion && p.statesSlowdown(servers, now)
+	servers = p.preferSound(servers, tried, rq, now)
+	if byCompletion {
 		return p.chooseByCompletion(servers, tried, rq, now)
 	}
 	s := p.leastUtilised(servers, tried, rq, now)
@@ -335,7 +344,7 @@
 	case !p.isEligible(s, rq, now):
 		return "announced as leaving or on a silent node"
 	}
-	return "usable"
+	return usable
 }
 
 // pick selects among the least utilised servers of each distance.
@@ -358,8 +367,7 @@
 func (ch *Choice) FailureRate() float64 {
 	ch.picker.mu.Lock()
 	defer ch.picker.mu.Unlock()
-	r := ch.record
-	return r.failureRate * decayer.Factor(time.Since(r.failureUpdatedAt), failureHalfLife)
+	return ch.record.recentFailureRate(time.Now())
 }
 
 // Done records the result of the attempt. It must be called exactly once.
@@ -516,7 +524,7 @@
 	if p.ColdRate != nil && p.ColdRate(s) > 0 {
 		utilisation = coldUtilisation + (1-coldUtilisation)*utilisation
 	}
-	utilisation += failurePenalty * r.failureRate * decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife)
+	utilisation += failurePenalty * r.recentFailureRate(now)
 	if now.Before(r.fullUntil) {
 		utilisation += fullPenalty
 	}
@@ -551,10 +559,15 @@
 	return r
 }
 
+// recentFailureRate returns the failure rate, which decays as outcomes age.
+func (r *serverRecord) recentFailureRate(now time.Time) float64 {
+	return r.failureRate * decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife)
+}
+
 // updateFailureRate adds an outcome to the moving average: 1 for a failure, 0 for
 // a success.
 func (r *serverRecord) updateFailureRate(sample float64, now time.Time) {
-	mean := r.failureRate * decayer.Factor(now.Sub(r.failureUpdatedAt), failureHalfLife)
+	mean := r.recentFailureRate(now)
 	r.failureRate = mean + (sample-mean)*failureSmoothing
 	r.failureUpdatedAt = now
 }
--- a/apricotd/internal/process/retrylimiter/retrylimiter.go
+++ b/apricotd/internal/process/retrylimiter/retrylimiter.go
@@ -89,6 +89,15 @@
 	l.pool(name).retries.add(l.slot(), probability)
 }
 
+// Covers reports whether the budget has room for n retries. isCall is as in TryRetry.
+func (l *Limiter) Covers(name string, isCall bool, n float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slot := l.slot()
+	p := l.pool(name)
+	return p.retries.sum(slot)+n <= l.limitFor(p, slot, isCall)
+}
+
 // TryRetry records a retry if the budget has room for it, and reports whether it has.
 // isCall is true for calls of backend servers.
 func (l *Limiter) TryRetry(name string, isCall bool) (Retry, bool) {
--- a/apricotd/mesher/build.go
+++ b/apricotd/mesher/build.go
@@ -146,6 +146,12 @@
 		Memory:      n.memory,
 		Log:         n.Log,
 	}
+	retryBudget := &retrylimiter.Limiter{
+		Window:    time.Duration(s.Retries.Window),
+		Ratio:     s.Retries.Ratio,
+		Allowance: s.Retries.Allowance,
+		Nodes:     n.nodeCount,
+	}
 	n.picker = &picker.Picker{
 		DataCentre:  s.DataCentre,
 		Region:      s.Region,
@@ -155,7 +161,8 @@
 		HomeReserve: homeReserve,
 		ColdRate:    n.coldRate,
 
-		ByCompletion: s.Balancing.ByExpectedWork != never,
+		ByCompletion:  s.Balancing.ByExpectedWork != never,
+		CoversRepeats: retryBudget.Covers,
 	}
 	n.policer = &policer.Policer{
 		Self:         s.Listen.Links.Addr(),
@@ -175,7 +182,7 @@
 		Slack:         s.Rates.Slack,
 		Window:        time.Duration(s.Rates.Window),
 	}
-	n.buildProxier()
+	n.buildProxier(retryBudget)
 	n.acceptor = &acceptor.Acceptor{
 		Limits:        n.limits,
 		Serve:         n.proxier.Serve,
@@ -215,22 +222,17 @@
 	return limit.Cur
 }
 
-func (n *Node) buildProxier() {
+func (n *Node) buildProxier(retryBudget *retrylimiter.Limiter) {
 	s := n.Settings
 	n.proxier = &proxier.Proxier{
-		Names:      n.Names,
-		Self:       s.Listen.Links.Addr(),
-		LocalPool:  n.localPool,
-		Resolver:   n.servingResolver,
-		AwaitStart: n.awaitJoin,
-		List:       n.syncer.List,
-		Picker:     n.picker,
-		Budget: &retrylimiter.Limiter{
-			Window:    time.Duration(s.Retries.Window),
-			Ratio:     s.Retries.Ratio,
-			Allowance: s.Retries.Allowance,
-			Nodes:     n.nodeCount,
-		},
+		Names:       n.Names,
+		Self:        s.Listen.Links.Addr(),
+		LocalPool:   n.localPool,
+		Resolver:    n.servingResolver,
+		AwaitStart:  n.awaitJoin,
+		List:        n.syncer.List,
+		Picker:      n.picker,
+		Budget:      retryBudget,
 		RateLimiter: n.policer,
 		Linker:      n.linker,
 		Local:       n.invoker,
