--- a/apricotd/converter/converter.go
+++ b/apricotd/converter/converter.go
@@ -1,4 +1,4 @@
-// Package converter converts numbers from outside to durations and integers. A Go
+// Package converter converts numbers from outside to durations and integers, and back. A Go
 // conversion of a number that the type cannot hold gives a result that differs
 // between processors; here it gives the nearest value of the type.
 //
@@ -29,6 +29,9 @@
 	return time.Duration(s * float64(time.Second))
 }
 
+// Milliseconds converts a duration to a number of milliseconds, with its fraction.
+func Milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // Uint32 converts an integer.
 func Uint32[T ~int | ~int64](n T) uint32 {
 	return uint32(min(max(0, int64(n)), math.MaxUint32))
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -200,7 +200,7 @@
 		Waiting:   uint32(i.waiting.Load()),
 		Slots:     uint32(i.limit.Load()),
 		Leaving:   i.isLeaving(identity.Server),
-		ServiceMs: float64(i.meanServiceTime.Load()) / float64(time.Millisecond),
+		ServiceMs: converter.Milliseconds(time.Duration(i.meanServiceTime.Load())),
 
 		Notice:          i.MarkCold(i.Noticer.Message()),
 		RateUtilisation: i.Admitter.RateUtilisation(),
@@ -210,7 +210,7 @@
 	}
 	// Nobody waits at a server with many free slots.
 	if 2*(load.Running+load.Waiting) >= load.Slots {
-		load.BacklogMs = milliseconds(reading.Backlog)
+		load.BacklogMs = converter.Milliseconds(reading.Backlog)
 	}
 	return load
 }
@@ -293,7 +293,7 @@
 		isLost = endForecast(result.GetAnswer().Status >= http.StatusInternalServerError)
 		took := time.Since(start)
 		if i.Gauger.Read().Slowdown > 0 {
-			result.ServiceMs = float32(milliseconds(took))
+			result.ServiceMs = float32(converter.Milliseconds(took))
 		}
 		i.recordServiceTime(took)
 		i.Tuner.Observe(run.Route, running, took)
@@ -501,8 +501,6 @@
 	i.meanServiceTime.Store(old + int64(serviceTimeSmoothing*float64(int64(took)-old)))
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 func fingerprint(run *linkwire.Run) uint64 {
 	return quarantiner.Fingerprint(run.Method, string(run.Host), string(run.Target), run.Body)
 }
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -87,7 +87,7 @@
 	run := p.runMessage(rq)
 	run.Notice = p.Notices.Notice(address)
 	if c.Prediction.Candidates > 0 {
-		run.ExpectedMs = float64(rq.cost.Mean) / float64(time.Millisecond)
+		run.ExpectedMs = converter.Milliseconds(rq.cost.Mean)
 	}
 	if address == p.Self {
 		result = p.Local.Run(ctx, run)
--- a/apricotd/internal/request/proxier/where.go
+++ b/apricotd/internal/request/proxier/where.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/internal/process/picker"
@@ -71,7 +72,7 @@
 	w.Excess, w.Bottleneck, w.Reporter, w.ReportAgeMs = overload.Excess, overload.Bottleneck, overload.Reporter, overload.Age.Milliseconds()
 	if cost, ok := p.Appraiser.Estimate(rq.properties()); ok {
 		rq.cost = cost
-		w.ExpectedMs = milliseconds(cost.Mean)
+		w.ExpectedMs = converter.Milliseconds(cost.Mean)
 		w.ExpectedBy = cost.Level.String()
 	}
 	total := 0.0
@@ -130,5 +131,3 @@
 	}
 	return reasonNoServer
 }
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
