Evacuation: one health check after a data centre is taken back

Node.returned and the warmer both asked for it. The warmer's stays, which is for pools with a cold rate only: in others nothing depends on whether a server has become cold.

Without the warmer's request TestDoubtIsClearedUpAtOnce fails.

--- a/apricotd/mesher/evacuation.go
+++ b/apricotd/mesher/evacuation.go
@@ -22,13 +22,6 @@
 	return list.Evacuations()
 }
 
-// endEvacuation is called when the data centre of this node has been taken back. Its
-// backend server may have become cold meanwhile, which its health check tells.
-func (n *Node) endEvacuation() {
-	n.returned.Store(true)
-	n.requestProbe()
-}
-
 // serveStatus serves the status of this node as JSON.
 func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/apricotd/mesher/mesher.go
+++ b/apricotd/mesher/mesher.go
@@ -148,8 +148,6 @@
 	pool          atomic.Pointer[poolReading]
 	stopping      atomic.Bool // the readiness check fails, so that callers fail over
 	leaving       atomic.Bool // heartbeats tell peers that this node is leaving
-	evacuated     atomic.Bool // the data centre is evacuated, as of the last change
-	returned      atomic.Bool // an evacuation has ended, and the server was not probed since
 	acceptor      *acceptor.Acceptor
 	exchanger     *exchanger.Exchanger
 	linker        *linker.Linker
@@ -377,10 +375,6 @@
 		n.picker.Prune(list)
 		n.notices.Prune(list)
 	}
-	isEvacuated := n.isEvacuated(n.Settings.DataCentre)
-	if wasEvacuated := n.evacuated.Swap(isEvacuated); wasEvacuated && !isEvacuated {
-		n.endEvacuation()
-	}
 	if !n.identifier.IsReported() {
 		n.requestProbe()
 	}
--- a/apricotd/mesher/prober.go
+++ b/apricotd/mesher/prober.go
@@ -122,7 +122,7 @@
 }
 
 func (n *Node) needsProbe() bool {
-	if n.returned.Swap(false) || !n.identifier.IsReported() || n.noticer.NeedsProbe(noticeProbeAfter) {
+	if !n.identifier.IsReported() || n.noticer.NeedsProbe(noticeProbeAfter) {
 		return true
 	}
 	if left, ok := n.warmer.UntilProbe(); ok && left == 0 {
