Where: prepared by the same functions as a request

Cause: Where set route, organisation, rank, deadline, homes, cost and the wanted servers itself. On a route without keys it let the homes of the named organisation bind, which those of a request don't, and a call on a route with keys looked as if it were served.

Change: prepare.go sets all of this for both, and refuseEach and noServer return the refusal for both; refusals for homes are counted where a request is refused. An organisation that isn't named counts as one without properties, as before.

--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -19,17 +19,16 @@
 // run tries servers until one of them answers or no further attempt is allowed.
 func (p *Proxier) run(ctx context.Context, rq *request) outcome {
 	tried := make(map[string]bool)
-	rq.cost, _ = p.Appraiser.Estimate(rq.properties())
 	var last outcome = refused{reason: invoker.Expired, detail: "the deadline passed before a server was asked"}
 	for rq.tries < maxTries {
 		if !time.Now().Before(rq.deadline) {
 			return last
 		}
 		servers := p.List().Pool(rq.pool)
-		wanted := picker.Request{Call: rq.isCall, Rank: rq.rank, Regions: p.regions(rq, servers), Cost: rq.costRequest()}
+		wanted := p.wanted(rq, servers)
 		choice, ok := p.Picker.Choose(servers, tried, wanted)
 		if !ok && rq.tries == 0 {
-			return p.noServer(rq, servers, wanted)
+			return p.countHomeRefusal(p.noServer(rq, servers, wanted))
 		}
 		if !ok {
 			return last
--- a/apricotd/internal/request/proxier/homes.go
+++ b/apricotd/internal/request/proxier/homes.go
@@ -8,21 +8,15 @@
 	"apricotrudder.dev/apricotd/internal/process/picker"
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/version/lister"
-	"apricotrudder.dev/apricotd/version/resolver"
 )
 
 // noHomeRetryAfter is the retry delay of a request without any home region, which only
 // new tables can change.
 const noHomeRetryAfter = 5 * time.Second
 
-// findHomes sets the regions in which a request may be served. It refuses the request
-// if its route and its organisation have home regions, but none in common.
-func (p *Proxier) findHomes(rq *request) outcome {
-	rq.homes = resolver.Homes(rq.route, rq.organisation)
-	if rq.homes == nil || len(rq.homes) > 0 {
-		return nil
-	}
-	p.countHomeRefusal(reasonNoHome)
+// noHome returns the refusal of a request whose route and organisation have home
+// regions, but none in common.
+func noHome(rq *request) refused {
 	return refused{
 		reason: reasonNoHome,
 		detail: fmt.Sprintf("the home regions of the route are %v, those of organisation %s are %v",
@@ -61,7 +55,7 @@
 // noServer returns the refusal of a request for which no server is usable. A request
 // with homes is not sent elsewhere, so it learns when one of them may have room.
 // Evacuations last until an operator ends them.
-func (p *Proxier) noServer(rq *request, servers []*lister.Server, wanted picker.Request) outcome {
+func (p *Proxier) noServer(rq *request, servers []*lister.Server, wanted picker.Request) refused {
 	o := refused{
 		reason:     reasonNoServer,
 		detail:     fmt.Sprintf("no usable server of pool %s: %s", rq.pool, p.Picker.Describe(servers, nil, wanted)),
@@ -74,7 +68,6 @@
 	if rq.homes == nil {
 		return o
 	}
-	p.countHomeRefusal(reasonNoHomeServer)
 	o.reason = reasonNoHomeServer
 	o.detail = fmt.Sprintf("home regions %v: %s", rq.homes, o.detail)
 	if wait, ok := p.Picker.NextRoom(servers, wanted); ok {
@@ -83,6 +76,10 @@
 	return o
 }
 
-func (p *Proxier) countHomeRefusal(reason string) {
-	p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_home_refusals_total{reason=%q}`, reason)).Inc()
+// countHomeRefusal counts a refusal that is due to home regions, and returns it.
+func (p *Proxier) countHomeRefusal(o refused) outcome {
+	if o.reason == reasonNoHome || o.reason == reasonNoHomeServer {
+		p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_home_refusals_total{reason=%q}`, o.reason)).Inc()
+	}
+	return o
 }
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -221,24 +221,18 @@
 			return refused{reason: reasonStarting, retryAfter: startingRetryAfter}
 		}
 	}
-	rq.version = tables.Tables.Version
-	path, _, _ := strings.Cut(rq.Target, "?")
-	route, ok := tables.Route(rq.Host, path)
-	if !ok {
+	if !rq.findRoute(tables) {
 		return refused{reason: reasonNoRoute}
 	}
-	rq.route, rq.rank = route, route.Rank
-	if o := p.authenticate(rq, tables); o != nil {
-		return o
-	}
-	rq.deadline = p.deadline(rq)
-	if o := p.findHomes(rq); o != nil {
-		return o
+	key := rq.Fields.Get(p.Names.APIKey)
+	if !rq.identify(tables, key != "", func() (*resolver.Organisation, bool) { return tables.OrganisationByKey(key) }) {
+		return refused{reason: reasonKeyUnknown}
 	}
-	if p.mayOutlast(rq) {
-		return refused{reason: reasonStopping, detail: "the node stops before the request's deadline", retryAfter: stoppingRetryAfter}
+	p.prepare(rq, tables)
+	if o, ok := p.refuseEach(rq); ok {
+		return p.countHomeRefusal(o)
 	}
-	rq.pool = p.balancer.pick(route)
+	rq.pool = p.balancer.pick(rq.route)
 	p.Budget.CountRequest(rq.pool)
 	if rq.isCall {
 		rq.repeatProbability = p.Local.RepeatFraction()
@@ -280,9 +274,6 @@
 func (p *Proxier) throttle(rq *request) outcome {
 	if rq.isCall {
 		p.Correlator.RecordCall(rq.route.Name)
-		if rank, ok := p.Ranker.Rank(rq.route.Name); ok {
-			rq.rank, rq.hasTreeRank = rank, true
-		}
 		rq.throttledFraction = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
 		return nil
 	}
@@ -371,25 +362,6 @@
 	return greatest
 }
 
-func (p *Proxier) authenticate(rq *request, tables *resolver.Resolver) outcome {
-	key := rq.Fields.Get(p.Names.APIKey)
-	if rq.route.Public || !tables.RequiresKeys() {
-		// Only callers have keys. A request without one on a public route is a
-		// call of the own backend server, or of a caller treated the same.
-		rq.isCall = rq.route.Public && key == ""
-		return nil
-	}
-	o, ok := tables.OrganisationByKey(key)
-	if key == "" || !ok {
-		return refused{reason: reasonKeyUnknown}
-	}
-	rq.organisation = o
-	if o.HasRank {
-		rq.preference = o.Rank
-	}
-	return nil
-}
-
 // deadline returns when to give up the request: a little before its caller
 // disconnects, and no later than the route's timeout.
 func (p *Proxier) deadline(rq *request) time.Time {
--- a/apricotd/internal/request/proxier/where.go
+++ b/apricotd/internal/request/proxier/where.go
@@ -1,7 +1,7 @@
 package proxier
 
 import (
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,8 +9,7 @@
 	"apricotrudder.dev/apricotd/converter"
 	"apricotrudder.dev/apricotd/internal/connection/acceptor"
 	"apricotrudder.dev/apricotd/internal/connection/parser"
-	"apricotrudder.dev/apricotd/internal/process/picker"
-	"apricotrudder.dev/apricotd/internal/request/invoker"
+	"apricotrudder.dev/apricotd/internal/cost/appraiser"
 	"apricotrudder.dev/apricotd/observer"
 	"apricotrudder.dev/apricotd/version/resolver"
 )
@@ -28,34 +27,24 @@
 	if tables == nil || p.List() == nil {
 		return observer.Where{}, ErrStarting
 	}
-	path, _, _ := strings.Cut(q.Target, "?")
-	route, ok := tables.Route(q.Host, path)
-	if !ok {
-		return observer.Where{}, errors.Wrapf(ErrNotFound, "route for host %q and path %q", q.Host, path)
+	rq := &request{Request: &acceptor.Request{Request: &parser.Request{Target: q.Target, Host: q.Host}, Received: time.Now()}}
+	if !rq.findRoute(tables) {
+		return observer.Where{}, errors.Wrapf(ErrNotFound, "route for host %q and target %q", q.Host, q.Target)
 	}
-	var organisation *resolver.Organisation
-	if q.Organisation != "" {
-		if organisation, ok = tables.OrganisationByName(q.Organisation); !ok {
-			return observer.Where{}, errors.Wrapf(ErrNotFound, "organisation %q", q.Organisation)
-		}
+	organisation, ok := tables.OrganisationByName(q.Organisation)
+	if q.Organisation != "" && !ok {
+		return observer.Where{}, errors.Wrapf(ErrNotFound, "organisation %q", q.Organisation)
 	}
-	rq := &request{
-		Request:      &acceptor.Request{Request: &parser.Request{Target: q.Target, Host: q.Host}, Received: time.Now()},
-		route:        route,
-		rank:         route.Rank,
-		organisation: organisation,
-		isCall:       q.Call,
-		version:      tables.Tables.Version,
-		homes:        resolver.Homes(route, organisation),
+	isKeyKnown := rq.identify(tables, !q.Call, func() (*resolver.Organisation, bool) { return organisation, true })
+	p.prepare(rq, tables)
+	w := p.where(rq)
+	if !isKeyKnown {
+		w.Refusal = reasonKeyUnknown
 	}
-	rq.deadline = p.deadline(rq)
-	return p.where(rq), nil
+	return w, nil
 }
 
 func (p *Proxier) where(rq *request) observer.Where {
-	if rank, ok := p.Ranker.Rank(rq.route.Name); rq.isCall && ok {
-		rq.rank = rank
-	}
 	_, current := p.StateAge()
 	w := observer.Where{
 		Route:     rq.route.Name,
@@ -70,10 +59,9 @@
 		w.ThrottledRatio = fraction
 	}
 	w.Excess, w.Bottleneck, w.Reporter, w.ReportAgeMs = overload.Excess, overload.Bottleneck, overload.Reporter, overload.Age.Milliseconds()
-	if cost, ok := p.Appraiser.Estimate(rq.properties()); ok {
-		rq.cost = cost
-		w.ExpectedMs = converter.Milliseconds(cost.Mean)
-		w.ExpectedBy = cost.Level.String()
+	if rq.cost.Level > appraiser.ByNothing {
+		w.ExpectedMs = converter.Milliseconds(rq.cost.Mean)
+		w.ExpectedBy = rq.cost.Level.String()
 	}
 	total := 0.0
 	for _, pool := range rq.route.WeightedPools {
@@ -88,8 +76,7 @@
 
 func (p *Proxier) wherePool(rq *request, pool string, share float64) observer.WherePool {
 	servers := p.List().Pool(pool)
-	wanted := picker.Request{Call: rq.isCall, Rank: rq.rank, Regions: rq.homes, Cost: rq.costRequest()}
-	explanations, byCompletion := p.Picker.Explain(servers, nil, wanted)
+	explanations, byCompletion := p.Picker.Explain(servers, nil, p.wanted(rq, servers))
 	out := observer.WherePool{Pool: pool, Share: share, ByCompletion: byCompletion}
 	for _, e := range explanations {
 		age := int64(-1)
@@ -108,26 +95,16 @@
 
 // whereRefusal returns the reason for which no such request would be sent, or "".
 func (p *Proxier) whereRefusal(rq *request, pools []observer.WherePool) string {
-	if rq.homes != nil && len(rq.homes) == 0 {
-		return reasonNoHome
-	}
-	if p.mayOutlast(rq) {
-		return reasonStopping
+	if o, ok := p.refuseEach(rq); ok {
+		return o.reason
 	}
+	reason := reasonNoServer
 	for _, pool := range pools {
-		for _, s := range pool.Servers {
-			if s.Reason == "" {
-				return ""
-			}
+		if slices.ContainsFunc(pool.Servers, func(s observer.WhereServer) bool { return s.Reason == "" }) {
+			return ""
 		}
+		servers := p.List().Pool(pool.Pool)
+		reason = p.noServer(rq, servers, p.wanted(rq, servers)).reason
 	}
-	for _, pool := range pools {
-		if p.Picker.IsEachEvacuated(p.List().Pool(pool.Pool), picker.Request{Call: rq.isCall, Rank: rq.rank, Regions: rq.homes}) {
-			return invoker.Evacuated
-		}
-	}
-	if rq.homes != nil {
-		return reasonNoHomeServer
-	}
-	return reasonNoServer
+	return reason
 }
--- a/apricotd/mesher/where_test.go
+++ b/apricotd/mesher/where_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -86,3 +87,30 @@
 		}
 	})
 }
+
+// Guards against an explanation that differs from what a request meets: organisations
+// don't count on routes without keys, and calls on others are refused.
+func TestWhereOnRoutesWithAndWithoutKeys(t *testing.T) {
+	runHomes(t, homeTables(2, "order", []string{"north"}, []string{"south"}), "e", func(f *fleet, b *bodyTracker) {
+		for _, c := range []struct {
+			query, refusal string
+			homes          []string
+		}{
+			{"host=inner.example&target=/stock/1&organisation=gold", "", nil},
+			{"host=inner.example&target=/stock/1&call=true", "", nil},
+			{"host=shop.example&target=/search/1&organisation=gold", "", []string{"south"}},
+			{"host=shop.example&target=/search/1&call=true", "keyUnknown", nil},
+			{"host=shop.example&target=/order/1&organisation=gold", "noHome", nil},
+		} {
+			if w := f.where("e", c.query); w.Refusal != c.refusal || !slices.Equal(w.Homes, c.homes) {
+				t.Errorf("%s: got refusal %q and homes %v, want %q and %v", c.query, w.Refusal, w.Homes, c.refusal, c.homes)
+			}
+		}
+		if got := f.order(); got.body != "noHome\n" {
+			t.Errorf("order: got %d %q, want the refusal noHome", got.status, got.body)
+		}
+		if got := f.operatorPage("e", "/metrics"); !strings.Contains(got, `apricot_home_refusals_total{reason="noHome"} 1`) {
+			t.Error("refusals for homes: got another count than 1, want only that of the order")
+		}
+	})
+}
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -58,8 +58,9 @@
 	WhereQuery struct {
 		Host   string
 		Target string // path and query
-		// Organisation is the name of the organisation whose request it is; empty for a
-		// request without a key. Keys are never sent to an operators' address.
+		// Organisation is the name of the organisation whose request it is. If it is empty,
+		// none of an organisation's properties apply. It doesn't count on routes that need
+		// no key. Keys are never sent to an operators' address.
 		Organisation string
 		// Call is true for a call of the node's own backend server.
 		Call bool
