Cold pools: entries of servers that have started again don't hide them

Cause: after a loss of power the entries of the servers before it remain for some seconds beside those of the new ones, and count as warm. So a pool whose servers were all cold looked half cold, and callers were told to return in 0.6 s instead of when its servers are warm.

Change: coldLeft counts for each address the server that started last; the list knows it.

--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -137,9 +137,11 @@
 	if !p.Notices.MayBeCold() {
 		return 0
 	}
+	list := p.List()
 	ready, cold, least := 0, 0, time.Duration(0)
-	for _, s := range p.List().Pool(pool) {
-		if s.State != lister.Ready {
+	for _, s := range list.Pool(pool) {
+		// The entry of a server that has started again under another id may still be there.
+		if at, _ := list.ServerAt(s.Address); s.State != lister.Ready || at != s {
 			continue
 		}
 		ready++
--- a/apricotd/version/lister/lister.go
+++ b/apricotd/version/lister/lister.go
@@ -70,10 +70,11 @@
 
 		servers        map[string]*Server // by id
 		pools          map[string][]*Server
-		placeByVM      map[netip.Addr]place  // by VM address
-		vmsPerRegion   map[string]int        // by region
-		absentByRegion map[string][]AbsentVM // sorted by address
-		evacuations    []Evacuation          // sorted by data centre
+		byAddress      map[netip.AddrPort]*Server // the likeliest there
+		placeByVM      map[netip.Addr]place       // by VM address
+		vmsPerRegion   map[string]int             // by region
+		absentByRegion map[string][]AbsentVM      // sorted by address
+		evacuations    []Evacuation               // sorted by data centre
 	}
 
 	// An Evacuation is an operator's request that the backend servers of a data centre
@@ -104,12 +105,16 @@
 		Revision:     revision,
 		servers:      make(map[string]*Server, len(servers)),
 		pools:        make(map[string][]*Server),
+		byAddress:    make(map[netip.AddrPort]*Server, len(servers)),
 		placeByVM:    make(map[netip.Addr]place, len(servers)),
 		vmsPerRegion: make(map[string]int),
 	}
 	for _, s := range servers {
 		l.servers[s.ID] = s
 		l.pools[s.Pool] = append(l.pools[s.Pool], s)
+		if found := l.byAddress[s.Address]; found == nil || s.isLikelierThan(found) {
+			l.byAddress[s.Address] = s
+		}
 		if _, known := l.placeByVM[s.Address.Addr()]; !known {
 			l.placeByVM[s.Address.Addr()] = place{region: s.Region, dataCentre: s.DataCentre}
 			l.vmsPerRegion[s.Region]++
@@ -218,13 +223,8 @@
 // with the address, as after it has passed from one to another, it is one in state Ready
 // and among those the one that started last.
 func (l *List) ServerAt(address netip.AddrPort) (*Server, bool) {
-	var found *Server
-	for _, s := range l.servers {
-		if s.Address == address && (found == nil || s.isLikelierThan(found)) {
-			found = s
-		}
-	}
-	return found, found != nil
+	s, ok := l.byAddress[address]
+	return s, ok
 }
 
 // isLikelierThan reports whether s rather than o listens on the address of both.
