Cold pools: few requests of a route begin until they are served as a whole

Cause: after all VMs have lost power, nodes don't know which pools a request's calls lead to. They began as many trees as the first pool took, most of which broke at a later cold pool. These trees took the tokens of requests that need no calls, and callers of requests that must not be repeated got 504, after which they don't return.

Change: package trier. While most servers of a route's pool are cold, the caller's node lets one of its requests begin, one more for each that is served, and after a failure none for half of the cold time left. The others are refused with throttled; where tells it.

--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -44,6 +44,7 @@
 	"apricotrudder.dev/apricotd/internal/request/invoker"
 	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
+	"apricotrudder.dev/apricotd/internal/request/trier"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -136,6 +137,7 @@
 		Metrics  *metrics.Set
 
 		balancer poolBalancer
+		trier    trier.Trier
 		stopAt   atomic.Pointer[time.Time] // nil until Stop
 	}
 
@@ -154,10 +156,11 @@
 		deadline          time.Time
 		fields            []*linkwire.Field
 		isCall            bool
-		hasTreeRank       bool    // whether the rank of a call is that of its call tree
-		repeatProbability float64 // probability that the first attempt repeats an earlier run
-		arrivals          int     // backend servers that it has reached, or may have reached
-		tries             int     // servers tried
+		endTrial          func(trier.Result) // nil unless the pool was cold
+		hasTreeRank       bool               // whether the rank of a call is that of its call tree
+		repeatProbability float64            // probability that the first attempt repeats an earlier run
+		arrivals          int                // backend servers that it has reached, or may have reached
+		tries             int                // servers tried
 		lastServer        string
 		homes             []string // the only regions in which it may be served; nil means any
 		refusedRegions    []string // regions whose nodes refused it as outside its homes
@@ -200,6 +203,9 @@
 		o = p.run(ctx, rq)
 		p.observeOutcome(rq, o)
 	}
+	if rq.endTrial != nil {
+		rq.endTrial(trialResult(o))
+	}
 	stopping := errors.Is(context.Cause(ctx), acceptor.ErrStopping)
 	if stopping {
 		o = brokenOff(o)
@@ -247,6 +253,9 @@
 	if o := p.postpone(rq); o != nil {
 		return o
 	}
+	if o := p.try(rq); o != nil {
+		return o
+	}
 	rq.fields = p.forwardedFields(rq)
 	return p.takeRateToken(ctx, rq)
 }
--- a/apricotd/internal/request/proxier/where.go
+++ b/apricotd/internal/request/proxier/where.go
@@ -101,7 +101,11 @@
 	reason := reasonNoServer
 	for _, pool := range pools {
 		if slices.ContainsFunc(pool.Servers, func(s observer.WhereServer) bool { return s.Reason == "" }) {
-			return ""
+			if left := p.coldLeft(pool.Pool); rq.isCall || left == 0 || p.trier.Wait(rq.route.Name, left) == 0 {
+				return ""
+			}
+			reason = reasonThrottled
+			continue
 		}
 		servers := p.List().Pool(pool.Pool)
 		reason = p.noServer(rq, servers, p.wanted(rq, servers)).reason
--- a/apricotd/mesher/cold_test.go
+++ b/apricotd/mesher/cold_test.go
@@ -1,11 +1,13 @@
 package mesher
 
 import (
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"apricotrudder.dev/apricotd/version/lister"
+	"apricotrudder.dev/apricotd/version/resolver"
 )
 
 const (
@@ -18,8 +20,9 @@
 
 // limitColdServers publishes tables in which cold servers of all pools tolerate
 // coldPerSecond, and an organisation without a rate to speak of.
-func (f *fleet) limitColdServers() {
-	tables := baseTables(2)
+func (f *fleet) limitColdServers() { f.limitCold(baseTables(2)) }
+
+func (f *fleet) limitCold(tables *resolver.Tables) {
 	for _, pool := range tables.Pools {
 		pool.ColdStart, pool.ColdRate = coldStart, coldPerSecond
 	}
@@ -202,3 +205,76 @@
 		}
 	})
 }
+
+// losePower ends all nodes and backend servers, and starts them again after a time, the
+// servers cold.
+func (f *fleet) losePower(downtime time.Duration) {
+	for _, m := range f.vms {
+		m.killed.Store(true)
+		m.node.Settings.Limits.StopWithin = 0
+		m.worker.end()
+		f.network.Kill(m.address)
+		m.cancel()
+	}
+	for _, m := range f.vms {
+		<-m.done
+	}
+	time.Sleep(downtime)
+	for name, m := range f.vms {
+		m.worker.mu.Lock()
+		m.worker.id += "x"
+		m.worker.coldUntil = time.Now().Add(coldStart)
+		m.worker.mu.Unlock()
+		m.startedAt, m.sequence = time.Now(), 0
+		m.worker.start(f.t, f.network, m.worker.address)
+		f.publishServer(name, lister.Ready)
+		f.startNode(name)
+	}
+}
+
+// Guards against trees that are begun in vain, at the cost of requests that can be served
+// as a whole, after all VMs have lost power. The load: 60 urgent searches a second, each of
+// which makes a call to the pool of the orders, which makes four to the stock server, and
+// 25 orders without calls. Cold, the two servers of the orders take 40 requests a second
+// together, and the stock server 20, a twelfth of what the searches need.
+func TestWholeRequestsAfterLossOfPower(t *testing.T) {
+	placements := map[string]placement{
+		"a": {"north", "north-1", "search"}, "b": {"north", "north-2", "search"},
+		"c": {"north", "north-1", "orders"}, "d": {"north", "north-2", "orders"},
+		"e": {"north", "north-1", "stock"}, "f": {"north", "north-2", "search"},
+	}
+	runFleet(t, placements, func(f *fleet) {
+		for name, m := range f.vms {
+			target := map[string]string{"search": "/plan/1", "orders": "/stock/1"}[m.placement.pool]
+			if target == "" {
+				continue
+			}
+			m.worker.newCall = func() string { return f.getRequest("inner.example", target) }
+			m.worker.dialNode = func() net.Conn { return f.dial(name) }
+			if m.placement.pool == "orders" {
+				m.worker.callsPerRun, m.worker.leaf = 4, "/order/"
+			}
+		}
+		tables := baseTables(2)
+		tables.Routes[0].Rank, tables.Routes[0].Timeout, tables.Routes[1].Rank = 0, 800*time.Millisecond, 2
+		tables.Routes = append(tables.Routes, &resolver.Route{Name: "plan", Host: "inner.example", Prefix: "/plan/", Idempotent: true, Public: true,
+			Timeout: time.Second, TargetLatency: 300 * time.Millisecond, Rank: 1, MaxAttempts: 2, WeightedPools: []resolver.WeightedPool{{Pool: "orders", Weight: 1}}})
+		f.limitCold(tables)
+		f.losePower(time.Second)
+		time.Sleep(200 * time.Millisecond)
+		var searches, orders []response
+		var wg sync.WaitGroup
+		wg.Go(func() { searches = f.sendAtRate(60, 2*time.Second, f.newSearch) })
+		wg.Go(func() {
+			orders = f.sendAtRate(25, 2*time.Second, func() string { return f.requestText("POST", "shop.example", "/order/1", "x") })
+		})
+		wg.Wait()
+		f.checkCold("c", "d", "e")
+		if got, want := countStatus(orders, 200), len(orders)/2; got < want {
+			t.Errorf("orders answered: got %d of %d, want at least %d", got, len(orders), want)
+		}
+		if got, want := len(searches)-countStatus(searches, 200)-countStatus(searches, 503), len(searches)/6; got > want {
+			t.Errorf("searches that failed after they had begun: got %d of %d, want at most %d", got, len(searches), want)
+		}
+	})
+}
--- a/apricotd/mesher/worker_test.go
+++ b/apricotd/mesher/worker_test.go
@@ -50,6 +50,7 @@
 		// runs, the worker makes callsPerRun calls (at least one) in sequence through
 		// the local node, which dialNode connects to. nil means no calls.
 		newCall     func() string
+		leaf        string // prefix of the targets that make no calls; empty means none
 		callsPerRun int
 		dialNode    func() net.Conn
 
@@ -339,7 +340,7 @@
 		service = time.Duration(float64(service) * w.fullSlowdown)
 	}
 	w.mu.Unlock()
-	if w.newCall != nil {
+	if w.newCall != nil && (w.leaf == "" || !strings.HasPrefix(r.URL.Path, w.leaf)) {
 		for i := 0; i < max(1, w.callsPerRun) && !failed; i++ {
 			failed = w.callDownstream()
 		}
