Evacuation: an end written just after a restoration of the store is found

Cause: a key that the operator removes in a restored store before any node has read it looks like one that the copy lacks, so the data centre stayed empty until he wrote it again and removed it.

Change: if a restored store lacks a key, a reader looks in its history once for a removal between the write that it knows and the position that it held before; up to there it knows the former era, so such a removal is new. Where the history doesn't tell, the data centre stays evacuated as before, and the log line, /v1/status (missing) and apricotctl status say what to do.

--- a/apricotctl/nodes.go
+++ b/apricotctl/nodes.go
@@ -215,6 +215,9 @@
 	for _, e := range s.Evacuations {
 		since := (time.Duration(e.SinceMs) * time.Millisecond).Round(100 * time.Millisecond)
 		note := fmt.Sprintf("%s evacuated for %v (revision %d of era %d)", e.DataCentre, since, e.Revision, e.Era)
+		if e.Missing {
+			note += ", which the restored store lacks: write its key again, and remove it to take the data centre back"
+		}
 		if e.DataCentre == s.DataCentre {
 			note += fmt.Sprintf(", %d still running here", s.InFlight)
 		}
--- a/apricotd/mesher/evacuation.go
+++ b/apricotd/mesher/evacuation.go
@@ -51,6 +51,7 @@
 	for _, e := range n.evacuations() {
 		s.Evacuations = append(s.Evacuations, observer.Evacuation{
 			DataCentre: e.DataCentre, Era: e.Era, Revision: e.Revision, SinceMs: time.Since(e.Since).Milliseconds(),
+			Missing: e.Era < v.Servers.Era,
 		})
 	}
 	return s
--- a/apricotd/mesher/evacuation_test.go
+++ b/apricotd/mesher/evacuation_test.go
@@ -245,6 +245,42 @@
 	})
 }
 
+// Guards against a data centre that stays empty because the operator took it back after a
+// restoration and before any node had read the store, and against one that is used because
+// the store has lost the order. Where the nodes can't tell, the status says so.
+func TestEvacuationTakenBackInRestoredStore(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		copyAge time.Duration // north-2 was evacuated 5 s before, south-1 15 s
+		write   func(f *fleet)
+		want    []string
+	}{
+		{"one taken back", 2 * time.Second, func(f *fleet) { f.takeBack("north-2") }, []string{"south-1"}},
+		{"both taken back, other changes", 2 * time.Second, func(f *fleet) { f.takeBack("south-1"); f.takeBack("north-2"); f.publishOften("a", 10) }, nil},
+		{"both taken back, history discarded", 2 * time.Second, func(f *fleet) { f.takeBack("south-1"); f.takeBack("north-2"); f.store.Compact() }, []string{"north-2", "south-1"}},
+		{"copy without one", 8 * time.Second, func(f *fleet) { f.publishOften("a", 10) }, []string{"north-2", "south-1"}},
+		{"copy without one, the other taken back", 8 * time.Second, func(f *fleet) { f.takeBack("south-1") }, []string{"north-2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runFleet(t, eightVMs, func(f *fleet) {
+				f.evacuate("south-1")
+				time.Sleep(10 * time.Second)
+				f.evacuate("north-2")
+				time.Sleep(5 * time.Second)
+				f.publishOften("a", 20)
+				time.Sleep(100 * time.Millisecond)
+				f.restore(c.copyAge, time.Second, func() { c.write(f) })
+				time.Sleep(storeSettleTime)
+				f.checkEvacuated(c.want...)
+				want := slices.Contains(c.want, "north-2")
+				if got := strings.Contains(f.operatorPage("a", "/v1/status"), `"missing":true`); got != want {
+					t.Errorf("status says that the store lacks an evacuation in force: got %t, want %t", got, want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an evacuation that ends, or is missed, because a peer whose program
 // knows no evacuations sends a complete state of a later position.
 func TestEvacuationBesideOlderProgram(t *testing.T) {
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -52,6 +52,9 @@
 		Revision uint64 `json:"revision"`
 		// SinceMs is the time since the nodes learned of it.
 		SinceMs int64 `json:"sinceMs"`
+		// Missing reports that the store was restored from a copy and lacks the request. It
+		// is in force until the operator writes it again and removes it.
+		Missing bool `json:"missing,omitempty"`
 	}
 
 	// A WhereQuery describes a request that is not sent.
--- a/apricotd/syncer/evacuations.go
+++ b/apricotd/syncer/evacuations.go
@@ -2,14 +2,20 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/sequencer"
 )
 
+// maxHistoryCalls bounds the calls to find the ends of evacuations after a restoration.
+const maxHistoryCalls = 8
+
 // maxEvacuationKeyBytes is the length of the longest key that is held and passed on.
 const maxEvacuationKeyBytes = 256
 
@@ -131,7 +137,7 @@
 		s.evacuationsDoubted = false
 		if len(lost) > 0 {
 			s.Log.WithField("keys", lost).WithField("era", position.Era).WithField("revision", position.Revision).
-				Warn("restored store lacks evacuations; keeping them until the operator writes them again")
+				Warn("restored store lacks evacuations; keeping them until the operator writes them again, or writes and removes them")
 		}
 	}
 	now := time.Now()
@@ -186,6 +192,63 @@
 	return true
 }
 
+// findEnds looks in the history of a restored store for the ends of evacuations that it
+// lacks: the operator may have removed them before this node first read the store. It does
+// so once after each restoration, if the store lacks any.
+//
+// Up to the position that this node held before, it knows all changes of the former era.
+// So a removal that the history shows up to there, after the write that this node knows,
+// is one of the new era. Any later one may come with the copy, and says nothing.
+func (s *Syncer) findEnds(ctx context.Context) {
+	lost, from, to := s.lostEvacuations()
+	for range maxHistoryCalls {
+		if from >= to {
+			return
+		}
+		s.watchCalls.Add(1)
+		changes, err := s.watch(ctx, from, 0)
+		if errors.Is(err, ErrHistoryGone) {
+			from += (to - from + 1) / 2 // the rest of it may be there
+			continue
+		}
+		if err != nil || changes.Position.Era != s.Versions().Servers.Era || changes.Position.Revision <= from {
+			return
+		}
+		ends := &Snapshot{Position: changes.Position}
+		for _, e := range changes.Evacuations {
+			written, ok := lost[e.Key]
+			if ok && e.Ended && e.Position.Revision > written && e.Position.Revision <= to {
+				ends.Evacuations = append(ends.Evacuations, e)
+			}
+		}
+		if s.applyEvacuations(ends, sourceStore) {
+			s.OnChange()
+		}
+		from = changes.Position.Revision
+	}
+}
+
+// lostEvacuations returns the revisions of the evacuations that a restored store lacks, by
+// key, and between which revisions their ends would be, once after each restoration.
+func (s *Syncer) lostEvacuations() (lost map[string]uint64, from, to uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.eraBefore.end
+	if s.endsSoughtIn == s.position.Era || before.IsZero() {
+		return nil, 0, 0
+	}
+	s.endsSoughtIn = s.position.Era
+	lost, to = make(map[string]uint64), min(before.Revision, s.position.Revision)
+	from = to
+	for key, e := range s.evacuations.byKey {
+		if !e.ended && e.position.Era == before.Era && before.Era < s.position.Era {
+			lost[key] = e.position.Revision
+			from = min(from, e.position.Revision)
+		}
+	}
+	return lost, from, to
+}
+
 // areEvacuationsDoubted reports whether a peer has sent an evacuation that the store
 // may have ended before the position of this node: the peer was cut off for long, or
 // this node has got its position from a peer whose program knows no evacuations.
--- a/apricotd/syncer/syncer.go
+++ b/apricotd/syncer/syncer.go
@@ -159,6 +159,7 @@
 		mu                    sync.Mutex
 		entries               map[string]*entry
 		evacuations           evacuations
+		endsSoughtIn          int64               // era whose history was searched for ends of evacuations
 		evacuationsDoubted    bool                // the store may have ended an evacuation that a peer has sent
 		reportingNodes        map[netip.Addr]bool // nodes whose last health report named a server
 		position              sequencer.Position
@@ -314,6 +315,7 @@
 	if position.IsZero() || s.areEvacuationsDoubted() {
 		return s.readAll(ctx)
 	}
+	s.findEnds(ctx)
 	s.watchCalls.Add(1)
 	changes, err := s.watch(ctx, position.Revision, watchWait)
 	if errors.Is(err, ErrHistoryGone) {
