Cold pools: one without a cold rate is left alone by its own node too

Cause: the cold time in the entry of the own server counted as long as any server of the fleet was cold, also if its pool has no cold rate.

--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -132,11 +132,14 @@
 }
 
 // coldLeft returns after what time the first servers of a pool become warm, if most of
-// those that are ready are cold, or else 0.
+// those that are ready are cold and the pool has a cold rate, or else 0.
 func (p *Proxier) coldLeft(pool string) time.Duration {
 	if !p.Notices.MayBeCold() {
 		return 0
 	}
+	if tables := p.Resolver(); tables == nil || tables.Tables.Pools[pool] == nil || tables.Tables.Pools[pool].ColdRate == 0 {
+		return 0
+	}
 	list := p.List()
 	ready, cold, least := 0, 0, time.Duration(0)
 	for _, s := range list.Pool(pool) {
--- a/apricotd/mesher/cold_test.go
+++ b/apricotd/mesher/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -278,3 +279,29 @@
 		}
 	})
 }
+
+// Guards against limits on a pool without a cold rate, whose servers are merely slower
+// after their start, while another pool has one and its server is cold.
+func TestPoolWithoutColdRateIsLeftAlone(t *testing.T) {
+	runFleet(t, oneLimitedServer, func(f *fleet) {
+		tables := baseTables(2)
+		tables.Pools["stock"].ColdStart, tables.Pools["stock"].ColdRate = coldStart, coldPerSecond
+		f.store.publishTables(tables)
+		m := f.vms["b"]
+		f.store.put(m.worker.id, serverEntry{StartedAt: m.startedAt, Sequence: 9, Server: lister.Server{
+			ID: m.worker.id, Pool: "search", DataCentre: m.placement.dataCentre, Region: m.placement.region,
+			Address: netip.AddrPortFrom(m.address, serverPort), Slots: 16, ColdUntil: time.Now().Add(time.Minute),
+		}})
+		f.vms["a"].worker.chill(30 * time.Second)
+		time.Sleep(2 * time.Second)
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() {
+				if r := f.send("b", f.newSearch()); r.status != 200 {
+					t.Errorf("one of four requests at once: got %d %q, want 200", r.status, r.body)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
