--- a/apricotd/internal/request/inheritor/inheritor_test.go
+++ b/apricotd/internal/request/inheritor/inheritor_test.go
@@ -66,7 +66,7 @@
 // Load: a burst of 2.5 times the usual, with calls of trees of two ranks and less urgent
 // direct requests, where refused callers return once.
 func TestSustainedOverloadTwoHopsAway(t *testing.T) {
-	policies := []chain{{}, {inherit: true}, {weigh: true}, {inherit: true, weigh: true}}
+	policies := []*chain{{}, {inherit: true}, {weigh: true}, {inherit: true, weigh: true}}
 	var worst, mean []float64
 	for _, policy := range policies {
 		synctest.Test(t, func(t *testing.T) {
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -20,17 +20,16 @@
 // run tries servers until one of them answers or no further attempt is allowed.
 func (p *Proxier) run(ctx context.Context, rq *request) outcome {
 	tried := make(map[string]bool)
-	rq.cost, _ = p.Appraiser.Estimate(rq.properties())
 	var last outcome = refused{reason: invoker.Expired, detail: "the deadline passed before a server was asked"}
 	for rq.tries < maxTries {
 		if !time.Now().Before(rq.deadline) {
 			return last
 		}
 		servers := p.List().Pool(rq.pool)
-		wanted := picker.Request{Call: rq.isCall, Rank: rq.rank, Regions: p.regions(rq, servers), Cost: rq.costRequest()}
+		wanted := p.wanted(rq, servers)
 		choice, ok := p.Picker.Choose(servers, tried, wanted)
 		if !ok && rq.tries == 0 {
-			return p.noServer(rq, servers, wanted)
+			return p.countHomeRefusal(p.noServer(rq, servers, wanted))
 		}
 		if !ok {
 			return last
@@ -93,7 +92,7 @@
 	run := p.runMessage(rq)
 	run.Notice = p.Notices.Notice(address)
 	if c.Prediction.Candidates > 0 {
-		run.ExpectedMs = float64(rq.cost.Mean) / float64(time.Millisecond)
+		run.ExpectedMs = converter.Milliseconds(rq.cost.Mean)
 	}
 	if address == p.Self {
 		result = p.Local.Run(ctx, run)
@@ -139,14 +138,19 @@
 }
 
 // coldLeft returns after what time the first servers of a pool become warm, if most of
-// those that are ready are cold, or else 0.
+// those that are ready are cold and the pool has a cold rate, or else 0.
 func (p *Proxier) coldLeft(pool string) time.Duration {
 	if !p.Notices.MayBeCold() {
 		return 0
 	}
+	if tables := p.Resolver(); tables == nil || tables.Tables.Pools[pool] == nil || tables.Tables.Pools[pool].ColdRate == 0 {
+		return 0
+	}
+	list := p.List()
 	ready, cold, least := 0, 0, time.Duration(0)
-	for _, s := range p.List().Pool(pool) {
-		if s.State != lister.Ready {
+	for _, s := range list.Pool(pool) {
+		// The entry of a server that has started again under another id may still be there.
+		if at, _ := list.ServerAt(s.Address); s.State != lister.Ready || at != s {
 			continue
 		}
 		ready++
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -46,6 +46,7 @@
 	"apricotrudder.dev/apricotd/internal/request/postponer"
 	"apricotrudder.dev/apricotd/internal/request/ranker"
 	"apricotrudder.dev/apricotd/internal/request/returner"
+	"apricotrudder.dev/apricotd/internal/request/trier"
 	"apricotrudder.dev/apricotd/namer"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -146,6 +147,7 @@
 		Metrics  *metrics.Set
 
 		balancer poolBalancer
+		trier    trier.Trier
 		stopAt   atomic.Pointer[time.Time] // nil until Stop
 	}
 
@@ -164,10 +166,11 @@
 		deadline          time.Time
 		fields            []*linkwire.Field
 		isCall            bool
-		hasTreeRank       bool    // whether the rank of a call is that of its call tree
-		repeatProbability float64 // probability that the first attempt repeats an earlier run
-		arrivals          int     // backend servers that it has reached, or may have reached
-		tries             int     // servers tried
+		endTrial          func(trier.Result) // nil unless the pool was cold
+		hasTreeRank       bool               // whether the rank of a call is that of its call tree
+		repeatProbability float64            // probability that the first attempt repeats an earlier run
+		arrivals          int                // backend servers that it has reached, or may have reached
+		tries             int                // servers tried
 		lastServer        string
 		homes             []string // the only regions in which it may be served; nil means any
 		refusedRegions    []string // regions whose nodes refused it as outside its homes
@@ -210,6 +213,9 @@
 		o = p.run(ctx, rq)
 		p.observeOutcome(rq, o)
 	}
+	if rq.endTrial != nil {
+		rq.endTrial(trialResult(o))
+	}
 	stopping := errors.Is(context.Cause(ctx), acceptor.ErrStopping)
 	if stopping {
 		o = brokenOff(o)
@@ -231,24 +237,18 @@
 			return refused{reason: reasonStarting, retryAfter: startingRetryAfter}
 		}
 	}
-	rq.version = tables.Tables.Version
-	path, _, _ := strings.Cut(rq.Target, "?")
-	route, ok := tables.Route(rq.Host, path)
-	if !ok {
+	if !rq.findRoute(tables) {
 		return refused{reason: reasonNoRoute}
 	}
-	rq.route, rq.rank = route, route.Rank
-	if o := p.authenticate(rq, tables); o != nil {
-		return o
-	}
-	rq.deadline = p.deadline(rq)
-	if o := p.findHomes(rq); o != nil {
-		return o
+	key := rq.Fields.Get(p.Names.APIKey)
+	if !rq.identify(tables, key != "", func() (*resolver.Organisation, bool) { return tables.OrganisationByKey(key) }) {
+		return refused{reason: reasonKeyUnknown}
 	}
-	if p.mayOutlast(rq) {
-		return refused{reason: reasonStopping, detail: "the node stops before the request's deadline", retryAfter: stoppingRetryAfter}
+	p.prepare(rq, tables)
+	if o, ok := p.refuseEach(rq); ok {
+		return p.countHomeRefusal(o)
 	}
-	rq.pool = p.balancer.pick(route)
+	rq.pool = p.balancer.pick(rq.route)
 	p.Budget.CountRequest(rq.pool)
 	if rq.isCall {
 		rq.repeatProbability = p.Local.RepeatFraction()
@@ -263,6 +263,9 @@
 	if o := p.postpone(rq); o != nil {
 		return o
 	}
+	if o := p.try(rq); o != nil {
+		return o
+	}
 	rq.fields = p.forwardedFields(rq)
 	return p.takeRateToken(ctx, rq)
 }
@@ -301,9 +304,8 @@
 func (p *Proxier) throttle(rq *request, tables *resolver.Resolver) outcome {
 	if rq.isCall {
 		p.Correlator.RecordCall(rq.route.Name)
-		if rank, ok := p.treeRank(rq, tables); ok {
-			rq.rank, rq.hasTreeRank = rank, true
-			p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_calls_ranked_total{rank="%d"}`, rank)).Inc()
+		if rq.hasTreeRank {
+			p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_calls_ranked_total{rank="%d"}`, rq.rank)).Inc()
 		}
 		refused, ok := p.Inheritor.RefusedFraction(rq.route.Name)
 		if !ok {
@@ -411,25 +413,6 @@
 	return greatest
 }
 
-func (p *Proxier) authenticate(rq *request, tables *resolver.Resolver) outcome {
-	key := rq.Fields.Get(p.Names.APIKey)
-	if rq.route.Public || !tables.RequiresKeys() {
-		// Only callers have keys. A request without one on a public route is a
-		// call of the own backend server, or of a caller treated the same.
-		rq.isCall = rq.route.Public && key == ""
-		return nil
-	}
-	o, ok := tables.OrganisationByKey(key)
-	if key == "" || !ok {
-		return refused{reason: reasonKeyUnknown}
-	}
-	rq.organisation = o
-	if o.HasRank {
-		rq.preference = o.Rank
-	}
-	return nil
-}
-
 // deadline returns when to give up the request: a little before its caller
 // disconnects, and no later than the route's timeout.
 func (p *Proxier) deadline(rq *request) time.Time {
--- a/apricotd/mesher/evacuation.go
+++ b/apricotd/mesher/evacuation.go
@@ -22,13 +22,6 @@
 	return list.Evacuations()
 }
 
-// endEvacuation is called when the data centre of this node has been taken back. Its
-// backend server may have become cold meanwhile, which its health check tells.
-func (n *Node) endEvacuation() {
-	n.returned.Store(true)
-	n.requestProbe()
-}
-
 // serveStatus serves the status of this node as JSON.
 func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
@@ -58,6 +51,7 @@
 	for _, e := range n.evacuations() {
 		s.Evacuations = append(s.Evacuations, observer.Evacuation{
 			DataCentre: e.DataCentre, Era: e.Era, Revision: e.Revision, SinceMs: time.Since(e.Since).Milliseconds(),
+			Missing: e.Era < v.Servers.Era,
 		})
 	}
 	return s
--- a/apricotd/observer/observer.go
+++ b/apricotd/observer/observer.go
@@ -52,14 +52,18 @@
 		Revision uint64 `json:"revision"`
 		// SinceMs is the time since the nodes learned of it.
 		SinceMs int64 `json:"sinceMs"`
+		// Missing reports that the store was restored from a copy and lacks the request. It
+		// is in force until the operator writes it again and removes it.
+		Missing bool `json:"missing,omitempty"`
 	}
 
 	// A WhereQuery describes a request that is not sent.
 	WhereQuery struct {
 		Host   string
 		Target string // path and query
-		// Organisation is the name of the organisation whose request it is; empty for a
-		// request without a key. Keys are never sent to an operators' address.
+		// Organisation is the name of the organisation whose request it is. If it is empty,
+		// none of an organisation's properties apply. It doesn't count on routes that need
+		// no key. Keys are never sent to an operators' address.
 		Organisation string
 		// Call is true for a call of the node's own backend server.
 		Call bool
