Picker: a server that may be fast again is tried in a bounded time

Now one first try in 50 of a node and pool is counted, not drawn, and goes to the server that the node has not used for the longest time if that is 10 s or more, else to any as before. The bound is 10 s and 50 requests for each server that waits. The cost is at most that of before (2 % of the first tries), and for this at most one request per node and server in 10 s. Cold servers are left out, and repeats no longer explore.

TestSlowServerGetsLess measures 20 s instead of 10, since the bound is 15 s at 10 requests a second and node; its limits are unchanged. TestDrawSpreads passes the same draws as a flag instead of a random number.

--- a/apricotd/internal/cost/scorer/scorer.go
+++ b/apricotd/internal/cost/scorer/scorer.go
@@ -9,8 +9,8 @@
 //
 // The draw keeps the nodes of a fleet, which see the same old figures, from sending to the
 // same server: candidates whose predictions differ by little share the requests in
-// proportion to their free slots, and a small part of the requests goes to any candidate,
-// so that a server that is fast again is found.
+// proportion to their free slots. One request in ExploreEvery is drawn among all candidates
+// at the distance of the best, so that a server that is fast again is found.
 //
 // # Usage
 //
@@ -20,15 +20,13 @@
 //	for i, v := range views {
 //		scores[i] = scorer.Evaluate(v, rq, &pool)
 //	}
-//	i := scorer.Draw(scores, rand.Float64(), rand.Float64())
+//	i := scorer.Draw(scores, rand.Float64(), explore)
 //
 // No function allocates or has side effects beyond its receiver; a score takes less than a microsecond.
 package scorer
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"apricotrudder.dev/apricotd/internal/process/decayer"
@@ -40,6 +38,9 @@
 	LocalRegion     = 1
 	OtherRegion     = 2
 	Distances       = 3
+	// ExploreEvery is the number of requests of which one ignores the predictions within
+	// the distance of the best server.
+	ExploreEvery = 50
 	// OccupancyHalfLife is the half-life of the difference between the occupancy of a
 	// server and that of its pool.
 	OccupancyHalfLife = 500 * time.Millisecond
@@ -74,10 +75,8 @@
 	refusalCost = 0.5
 	// toleranceRatio is the difference between predictions, relative to the best one, that
 	// reduces the share of a server by a factor of e.
-	toleranceRatio = 0.2
-	// exploreFraction is the part of the requests for which the predictions are ignored
-	// within the distance of the best server.
-	exploreFraction = 0.02
+	toleranceRatio  = 0.2
+	exploreFraction = 1.0 / ExploreEvery
 	minVariance     = 1.0 // requests squared
 )
 
@@ -195,19 +194,25 @@
 	return s
 }
 
-// Draw returns the index of the server to use, or -1 if there is none. x and y are random
-// numbers in [0, 1).
-func Draw(scores []Score, x, y float64) int {
+// Best returns the index of the server with the least prediction, or -1 if there is none.
+func Best(scores []Score) int {
 	best := -1
 	for i := range scores {
 		if best < 0 || scores[i].Total() < scores[best].Total() {
 			best = i
 		}
 	}
+	return best
+}
+
+// Draw returns the index of the server to use, or -1 if there is none. x is a random number
+// in [0, 1). If explore is set, the predictions are ignored within the distance of the best
+// server.
+func Draw(scores []Score, x float64, explore bool) int {
+	best := Best(scores)
 	if best < 0 {
 		return -1
 	}
-	explore := y < exploreFraction
 	sum := 0.0
 	for i := range scores {
 		sum += weight(&scores[i], &scores[best], explore)
@@ -221,24 +226,29 @@
 	return best
 }
 
-// Shares returns the part of the requests for which Draw returns each index.
-func Shares(scores []Score) []float64 {
+// Shares returns the part of the requests for which Draw returns each index. If explored is
+// not negative, the requests that ignore the predictions all go to that index.
+func Shares(scores []Score, explored int) []float64 {
 	out := make([]float64, len(scores))
 	if len(scores) == 0 {
 		return out
 	}
-	best := slices.MinFunc(scores, func(a, b Score) int { return cmp.Compare(a.Total(), b.Total()) })
+	best := &scores[Best(scores)]
 	add := func(part float64, explore bool) {
 		sum := 0.0
 		for i := range scores {
-			sum += weight(&scores[i], &best, explore)
+			sum += weight(&scores[i], best, explore)
 		}
 		for i := range scores {
-			out[i] += part * weight(&scores[i], &best, explore) / sum
+			out[i] += part * weight(&scores[i], best, explore) / sum
 		}
 	}
 	add(1-exploreFraction, false)
-	add(exploreFraction, true)
+	if explored >= 0 {
+		out[explored] += exploreFraction
+	} else {
+		add(exploreFraction, true)
+	}
 	return out
 }
 
--- a/apricotd/internal/cost/scorer/scorer_test.go
+++ b/apricotd/internal/cost/scorer/scorer_test.go
@@ -117,17 +117,17 @@
 	counts := make([]int, len(scores))
 	const n = 1000
 	for i := range n {
-		for j := range 50 {
-			counts[Draw(scores, (float64(i)+0.5)/n, (float64(j)+0.5)/50)]++
+		for j := range ExploreEvery {
+			counts[Draw(scores, (float64(i)+0.5)/n, j == 0)]++
 		}
 	}
 	if 2*counts[0] > 5*counts[1] || counts[1] > counts[0] {
 		t.Errorf("draws of two equal servers with 10 and 5 free slots: got %v, want about in that proportion", counts)
 	}
-	if counts[2] == 0 || counts[2] > 50*n/50 {
+	if counts[2] == 0 || counts[2] > n {
 		t.Errorf("draws of a server that takes four times as long: got %d, want some, at most one in 50", counts[2])
 	}
-	if got := Draw(nil, 0.5, 0.5); got != -1 {
+	if got := Draw(nil, 0.5, true); got != -1 {
 		t.Errorf("draw from nothing: got %d, want -1", got)
 	}
 }
--- a/apricotd/internal/process/picker/completion.go
+++ b/apricotd/internal/process/picker/completion.go
@@ -17,6 +17,9 @@
 	// measurement, so that it follows a path that has become longer.
 	travelGrowth = 1.01
 	maxTravel    = time.Second
+	// exploreAfter is how long a server is not used before a request may be sent there to
+	// find out whether it is fast again. A fleet of n nodes sends at most n in this time.
+	exploreAfter = 10 * time.Second
 )
 
 type candidate struct {
@@ -37,15 +40,69 @@
 
 func (p *Picker) chooseByCompletion(servers []*lister.Server, tried map[string]bool, rq Request, now time.Time) (*Choice, bool) {
 	p.evaluate(servers, tried, rq, now)
-	i := scorer.Draw(p.scores, rand.Float64(), rand.Float64())
-	if i < 0 {
+	if len(p.scores) == 0 {
 		return nil, false
 	}
+	explore := len(tried) == 0 && p.mayExplore(servers[0].Pool)
+	i := -1
+	if explore {
+		i = p.longestUnused(now)
+	}
+	if i < 0 {
+		i = scorer.Draw(p.scores, rand.Float64(), explore)
+	}
 	choice := p.newChoice(p.candidates[i].server, rq, now)
 	choice.Prediction = Prediction{Score: p.scores[i], Age: p.candidates[i].view.Age, Candidates: len(p.scores)}
 	return choice, true
 }
 
+// mayExplore counts a first try in a pool, and returns true for one in scorer.ExploreEvery.
+func (p *Picker) mayExplore(pool string) bool {
+	n, ok := p.untilExplore[pool]
+	if !ok {
+		if p.untilExplore == nil {
+			p.untilExplore = make(map[string]int)
+		}
+		// The nodes of a fleet don't explore at the same time.
+		n = rand.IntN(scorer.ExploreEvery)
+	}
+	if n == 0 {
+		p.untilExplore[pool] = scorer.ExploreEvery - 1
+		return true
+	}
+	p.untilExplore[pool] = n - 1
+	return false
+}
+
+// longestUnused returns the index of the candidate, at the distance of the best one, that
+// this node has not used for the longest time, or -1 if it has used all within
+// exploreAfter. Cold servers don't count: they get their rate when warm ones have no room.
+func (p *Picker) longestUnused(now time.Time) int {
+	best := scorer.Best(p.scores)
+	if best < 0 {
+		return -1
+	}
+	distance := p.scores[best].Distance
+	longest, since := -1, now.Add(-exploreAfter)
+	for i, c := range p.candidates {
+		if p.scores[i].Distance != distance || p.isCold(c.server, now) {
+			continue
+		}
+		var at time.Time
+		if r := p.records[c.server.ID]; r != nil {
+			at = r.chosenAt
+		}
+		if !at.After(since) {
+			longest, since = i, at
+		}
+	}
+	return longest
+}
+
+func (p *Picker) isCold(s *lister.Server, now time.Time) bool {
+	return now.Before(s.ColdUntil) || p.ColdRate != nil && p.ColdRate(s) > 0
+}
+
 // evaluate sets p.candidates to the eligible servers and p.scores to their predictions.
 func (p *Picker) evaluate(servers []*lister.Server, tried map[string]bool, rq Request, now time.Time) {
 	p.candidates, p.scores = p.candidates[:0], p.scores[:0]
--- a/apricotd/internal/process/picker/explain.go
+++ b/apricotd/internal/process/picker/explain.go
@@ -30,7 +30,7 @@
 	now := time.Now()
 	byCompletion = p.ByCompletion && p.statesSlowdown(servers, now)
 	p.evaluate(servers, tried, rq, now)
-	shares := scorer.Shares(p.scores)
+	shares := scorer.Shares(p.scores, p.longestUnused(now))
 	least := p.leastUtilised(servers, tried, rq, now)
 	scored := 0
 	for _, s := range servers {
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -10,7 +10,9 @@
 //
 // If ByCompletion is set and servers of the pool state how long work takes there at
 // present, the server is instead the one at which the request is expected to be completed
-// first, travel and the price of distance included; see package scorer.
+// first, travel and the price of distance included; see package scorer. One first try in
+// scorer.ExploreEvery goes to a server of the same distance that this node has not used for
+// exploreAfter, so each is tried in a bounded time, or else to any server of that distance.
 //
 // # Usage
 //
@@ -24,6 +26,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -164,6 +167,7 @@
 		// evacuatedUntil holds the data centres whose nodes have refused a request because
 		// they are evacuated, of which this node may not have heard.
 		evacuatedUntil map[string]time.Time
+		untilExplore   map[string]int                // first tries, by pool
 		travel         [distanceLevels]time.Duration // there and back; 0: unknown
 		candidates     []candidate                   // reused by each choice
 		scores         []scorer.Score                // reused by each choice
@@ -204,6 +208,7 @@
 
 	serverRecord struct {
 		inFlight         int // requests of this node in progress at the server
+		chosenAt         time.Time
 		load             int // running and waiting requests in the last report
 		slots            int
 		rateUtilisation  float64 // in the last report
@@ -264,6 +269,7 @@
 	r := p.recordFor(s.ID)
 	r.inFlight++
 	r.sentLate++
+	r.chosenAt = now
 	return &Choice{Server: s, picker: p, record: r, rank: rq.Rank, sentAt: now}
 }
 
@@ -445,6 +451,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pruneHomes(time.Now())
+	maps.DeleteFunc(p.untilExplore, func(pool string, _ int) bool { return len(list.Pool(pool)) == 0 })
 	for id, r := range p.records {
 		if _, ok := list.Server(id); !ok && r.inFlight == 0 {
 			delete(p.records, id)
--- a/apricotd/mesher/cost_test.go
+++ b/apricotd/mesher/cost_test.go
@@ -31,7 +31,8 @@
 				}
 				f.sendAtRate(30, 5*time.Second, f.newSearch)
 				before := map[string]int{"b": len(f.vms["b"].worker.runs()), "c": len(f.vms["c"].worker.runs())}
-				f.sendAtRate(30, 10*time.Second, f.newSearch)
+				// Each node tries the slow server after at most 10 s and 50 of its requests.
+				f.sendAtRate(30, 20*time.Second, f.newSearch)
 				fast, slow := len(f.vms["b"].worker.runs())-before["b"], len(f.vms["c"].worker.runs())-before["c"]
 				t.Logf("runs at the fast server %d, at the slow one %d", fast, slow)
 				if c.known && (slow == 0 || slow > fast/10) {
