Launcher: the processes of a deployment have an address of their own

46 ports were found free on 127.0.0.1 before the processes listened on them; other programs' listeners may be given one of them meanwhile (see the nodes of the process tests).

--- a/standin/launcher/launcher.go
+++ b/standin/launcher/launcher.go
@@ -12,9 +12,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -153,7 +154,7 @@
 func (f *fleet) assignPorts() error {
 	const portsPerVM = 5
 	count := len(f.deployment.DataCentre) * len(f.deployment.Service)
-	ports, err := freePorts(1 + portsPerVM*count)
+	ports, err := freePorts(ownAddress(), 1+portsPerVM*count)
 	if err != nil {
 		return err
 	}
@@ -179,7 +180,7 @@
 
 func (f *fleet) writeTables() error {
 	for _, o := range f.deployment.Organisation {
-		f.keys[o.Name] = rand.Text()
+		f.keys[o.Name] = crand.Text()
 	}
 	digest := func(key string) string { return checker.Digest(key).String() }
 	var list publisher.VMList
@@ -373,9 +374,21 @@
 	}
 }
 
-// freePorts returns n loopback ports that are free now. Another process may take
-// one of them before it is used.
-func freePorts(n int) ([]netip.AddrPort, error) {
+// ownAddress returns a loopback address that hardly any other program uses, since a port
+// that is free may be given to another server before the process listens on it. Systems
+// that have only 127.0.0.1 get that.
+func ownAddress() netip.Addr {
+	a := netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), 1})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(a, 0).String())
+	if err != nil {
+		return netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	}
+	_ = l.Close()
+	return a
+}
+
+// freePorts returns n ports of an address that are free now.
+func freePorts(a netip.Addr, n int) ([]netip.AddrPort, error) {
 	var (
 		ports     []netip.AddrPort
 		listeners []net.Listener
@@ -386,7 +399,7 @@
 		}
 	}()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", netip.AddrPortFrom(a, 0).String())
 		if err != nil {
 			return nil, fmt.Errorf("find free port: %w", err)
 		}
