--- a/apricotd/internal/process/picker/explain.go
+++ b/apricotd/internal/process/picker/explain.go
@@ -31,7 +31,7 @@
 	byCompletion = p.ByCompletion && p.statesSlowdown(servers, now)
 	preferred := p.preferSound(servers, tried, rq, now)
 	p.evaluate(preferred, tried, rq, now)
-	shares := scorer.Shares(p.scores)
+	shares := scorer.Shares(p.scores, p.longestUnused(now))
 	least := p.leastUtilised(preferred, tried, rq, now)
 	scored := 0
 	for _, s := range servers {
