--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -66,10 +66,11 @@
 }
 
 // mayAttempt reports whether the request may be sent to a server, and returns the
-// retry that is charged for it, if any. Attempts are not limited here until one has reached a backend server. Each further one must
-// be within the route's limit on attempts and is charged to the fleet's retry
-// budget. A call is not retried on a server that would probably reject it: the
-// request that makes the call needs several calls to succeed.
+// retry that is charged for it, if any. Attempts are not limited here until one has
+// reached a backend server. Each further one must be within the route's limit on
+// attempts and is charged to the fleet's retry budget. A call is not retried on a
+// server that would probably reject it: the request that makes the call needs several
+// calls to succeed.
 func (p *Proxier) mayAttempt(rq *request, c *picker.Choice) (retrylimiter.Retry, bool) {
 	if rq.arrivals == 0 {
 		return retrylimiter.Retry{}, true
