Test: servers of the home reserve's model are guarded by a mutex

The race detector reported the model's counters, which the goroutines of all requests share, in TestHomeReserve. The product's code is not concerned; the checks are the same.

--- a/apricotd/internal/process/picker/reserve_test.go
+++ b/apricotd/internal/process/picker/reserve_test.go
@@ -28,6 +28,8 @@
 	// which find no slot in time.
 	model struct {
 		servers []*lister.Server
+
+		mu      sync.Mutex
 		running []int // by index of the server
 		waiting []int
 	}
@@ -37,15 +39,17 @@
 
 func (m *model) run(i int, service time.Duration) Report {
 	start := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.waiting[i]++
 	for m.running[i] >= modelSlots && time.Since(start) < modelPatience {
-		time.Sleep(2 * time.Millisecond)
+		m.sleep(2 * time.Millisecond)
 	}
 	m.waiting[i]--
 	report := Report{Result: Full, Slots: modelSlots}
 	if m.running[i] < modelSlots {
 		m.running[i]++
-		time.Sleep(service)
+		m.sleep(service)
 		m.running[i]--
 		report.Result = Served
 	}
@@ -53,6 +57,13 @@
 	return report
 }
 
+// sleep sleeps without m.mu, which must be held.
+func (m *model) sleep(d time.Duration) {
+	m.mu.Unlock()
+	time.Sleep(d)
+	m.mu.Lock()
+}
+
 // send sends one request from a node until a server runs it.
 func (m *model) send(p *Picker, rq Request, count *modelCount) {
 	count.asked.Add(1)
