Test: the gain of returns that fit is the mean of eight plays

TestReturnsFitIntoSpareCapacity failed in 5 of 590 runs, and 2 of 550 on: the gain of one play is 83 to 97 where 97.5 is required, by the chance of its draws.

--- a/apricotd/internal/request/postponer/postponer_test.go
+++ b/apricotd/internal/request/postponer/postponer_test.go
@@ -372,6 +372,7 @@
 		from, to  = 5, 13.0 // seconds in which all runs are lost
 		steps     = 20000
 		window    = 200 // milliseconds over which the pool averages its load
+		plays     = 8
 	)
 	play := func(excess float64, postpone bool) (served float64) {
 		synctest.Test(t, func(*testing.T) {
@@ -404,7 +405,14 @@
 		})
 		return served
 	}
-	baseline, naive, now := play(-spare, false), play(-1, true), play(-spare, true)
+	// The gain is a hundred of 12,000 requests, so it is the mean of several plays.
+	mean := func(excess float64, postpone bool) (served float64) {
+		for range plays {
+			served += play(excess, postpone) / plays
+		}
+		return served
+	}
+	baseline, naive, now := mean(-spare, false), mean(-1, true), mean(-spare, true)
 	// A fifth of the demand fits in for at most the latest return of a first attempt.
 	latest := target - time.Duration(latencyFactor*float64(treeTime))
 	optimum := baseline + spare*perSecond*latest.Seconds()
