Demand of call trees: fractions and weights that peers state are bounded

Found by review, not in a run of the system: one frame with a held of 1e308 made RefusedFraction infinite until the route had no run at all, and the receivers of its calls would close their links; one report of 1e38 requests a run multiplies to infinity at the next node. Change: fractions count as 0 to 1, weights as at most 1,000. Valid figures are treated as before.

TestImpossibleFractionsAreBounded and TestImpossibleRequestsPerRunAreBounded fail without it (+Inf instead of 0.4; a weight of 1e38).

--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -47,6 +47,9 @@
 	// demandHalfLife is the half-life of the request counts from which the
 	// demand by rank is computed.
 	demandHalfLife = 2 * time.Second
+	// maxRequestsPerRun bounds what a report on one route can add to the demand on its
+	// bottleneck.
+	maxRequestsPerRun = 1000.0
 	// perRunSmoothing is the weight of one report in the mean of RequestsPerRun.
 	perRunSmoothing = 0.1
 	// evictionThreshold is the number of stored routes at which idle ones, such as
@@ -106,12 +109,12 @@
 )
 
 // Weight returns the mean number of requests to the bottleneck for each request of the
-// route, 1 if it is unknown.
+// route, at most maxRequestsPerRun, or 1 if it is unknown.
 func (o Overload) Weight() float64 {
-	if o.RequestsPerRun <= 0 {
-		return 1
+	if o.RequestsPerRun > 0 {
+		return min(maxRequestsPerRun, o.RequestsPerRun)
 	}
-	return o.RequestsPerRun
+	return 1
 }
 
 // Observe records a server's report on a route.
--- a/apricotd/internal/process/throttler/throttler_test.go
+++ b/apricotd/internal/process/throttler/throttler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -226,6 +227,24 @@
 	})
 }
 
+// Guards against a report that states an impossible number of requests: NaN or an infinite
+// demand would refuse all.
+func TestImpossibleRequestsPerRunAreBounded(t *testing.T) {
+	for _, stated := range []float64{math.Inf(1), 1e38, math.NaN(), -1} {
+		synctest.Test(t, func(t *testing.T) {
+			th := &Throttler{}
+			for range 200 {
+				th.Observe("order", "s", Overload{Excess: 0.05, Bottleneck: "stock", RequestsPerRun: stated})
+			}
+			_, o := th.ThrottleFraction("order", 0)
+			fraction, _ := th.ThrottleFraction("check", 1)
+			if w := o.Weight(); !(w >= 1 && w <= maxRequestsPerRun) || !(fraction >= 0 && fraction <= 1) {
+				t.Errorf("stated %v: got a weight of %v and a fraction of %v", stated, w, fraction)
+			}
+		})
+	}
+}
+
 // Guards against refusing too little while requests of several routes take different parts
 // of the bottleneck: the least urgent ones were counted like trees of four requests.
 // Load: 50 trees of four requests each beside 200 direct requests, half of which is too much.
--- a/apricotd/internal/request/inheritor/inheritor.go
+++ b/apricotd/internal/request/inheritor/inheritor.go
@@ -48,6 +48,7 @@
 // fraction of the demand, 0 to 1, that was refused when the root of its call tree
 // admitted it.
 func (i *Inheritor) Begin(route string, refused float64) (end func()) {
+	refused = max(0, min(1, refused)) // as peers state it
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.routes == nil {
--- a/apricotd/internal/request/inheritor/inheritor_test.go
+++ b/apricotd/internal/request/inheritor/inheritor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -84,6 +85,25 @@
 	}
 }
 
+// Guards against a peer that states an impossible fraction: it outlasted its runs.
+func TestImpossibleFractionsAreBounded(t *testing.T) {
+	i := &Inheritor{Calls: func(string) []correlator.Call { return []correlator.Call{{Name: "read", PerRun: 2}} }}
+	endUsual := i.Begin("order", 0.4)
+	defer endUsual()
+	for _, stated := range []float64{math.MaxFloat64, 1e18, -math.MaxFloat64} {
+		end := []func(){i.Begin("order", stated), i.Begin("order", stated)}
+		if got, ok := i.RefusedFraction("read"); !ok || got < 0 || got > 1 {
+			t.Errorf("fraction while two runs state %v: got %v, %v, want 0 to 1", stated, got, ok)
+		}
+		for _, e := range end {
+			e()
+		}
+		if got, ok := i.RefusedFraction("read"); !ok || math.Abs(got-0.4) > 1e-9 {
+			t.Errorf("fraction after two runs that stated %v: got %v, %v, want 0.4", stated, got, ok)
+		}
+	}
+}
+
 func (m *chain) play() (worst, mean float64) {
 	m.due = make(map[int][]func())
 	m.estimator = &estimator.Estimator{Load: func() estimator.Load {
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -406,6 +406,7 @@
 		overload := p.Throttler.Estimate(call.Name)
 		overload.Excess *= min(1, call.PerRun)
 		overload.RequestsPerRun = call.PerRun * overload.Weight()
+		overload.RequestsPerRun = overload.Weight()
 		if overload.Bottleneck != "" && overload.Excess > greatest.Excess {
 			greatest = overload
 		}
