Demand of call trees: only the bottleneck divides its arrivals by its excess

Found by review: Run.held stated the excess of the root's bottleneck to every pool of the tree.

Change: a run states its tree's excess and the name of the bottleneck beside the fraction that applied to its own pool; a call inherits the excess if it goes to the bottleneck, and the fraction otherwise; from runs that state no excess nothing is inherited.

--- a/apricotd/internal/connection/linker/check.go
+++ b/apricotd/internal/connection/linker/check.go
@@ -24,7 +24,7 @@
 	switch kind := frame.Kind.(type) {
 	case *linkwire.Frame_Run:
 		r := kind.Run
-		valid = areFinite(r.Weight, r.Held, r.Repeat, r.ExpectedMs) && isValidNotice(r.Notice)
+		valid = areFinite(r.Weight, r.Held, r.Repeat, r.ExpectedMs, float64(r.GetTreeExcess())) && isValidNotice(r.Notice)
 	case *linkwire.Frame_Result:
 		load := kind.Result.GetLoad()
 		valid = isValidOutcome(kind.Result) &&
--- a/apricotd/internal/request/inheritor/inheritor.go
+++ b/apricotd/internal/request/inheritor/inheritor.go
@@ -13,11 +13,11 @@
 // # Usage
 //
 //	i := &inheritor.Inheritor{Calls: c.Calls}
-//	end := i.Begin("order", 0.4) // a run; 0.4 of the demand was refused at its root
-//	fraction, ok := i.RefusedFraction("stock") // of a call
+//	end := i.Begin("order", inheritor.Tree{Refused: 0.1, Excess: 0.4, Bottleneck: "stock"}) // a run
+//	tree, ok := i.Inherit("read", "stock") // of a call to a pool
 //	end()
 //
-// RefusedFraction iterates over the routes that run at this moment.
+// Inherit iterates over the routes that run at this moment.
 package inheritor
 
 import (
@@ -27,6 +27,16 @@
 )
 
 type (
+	// A Tree is what applied at the root of a call tree when it was admitted.
+	Tree struct {
+		// Refused is the fraction, 0 to 1, of the demand on the pool of the request that
+		// was refused.
+		Refused float64
+		// Excess is that of the Bottleneck, 0 to 1, or 0 without one.
+		Excess     float64
+		Bottleneck string
+	}
+
 	// An Inheritor observes one backend server. Its exported field must be set before
 	// use.
 	Inheritor struct {
@@ -34,61 +44,92 @@
 		Calls func(route string) []correlator.Call
 
 		mu     sync.Mutex
-		routes map[string]*runs // only routes that run
+		routes map[string]map[string]*runs // by route and bottleneck; only those that run
 	}
 
-	// runs are the runs in progress of one route.
+	// runs are the runs in progress of one route whose trees have the same bottleneck.
 	runs struct {
 		n       int
-		refused float64 // sum of the refused fractions
+		refused float64 // sum
+		excess  float64 // sum
 	}
 )
 
-// Begin records that a request runs until the returned function is called, and the
-// fraction of the demand, 0 to 1, that was refused when the root of its call tree
-// admitted it.
-func (i *Inheritor) Begin(route string, refused float64) (end func()) {
-	refused = max(0, min(1, refused)) // as peers state it
+// Begin records that a request runs until the returned function is called.
+func (i *Inheritor) Begin(route string, t Tree) (end func()) {
+	// Peers may state any number.
+	refused, excess := max(0, min(1, t.Refused)), max(0, min(1, t.Excess))
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.routes == nil {
-		i.routes = make(map[string]*runs)
+		i.routes = make(map[string]map[string]*runs)
+	}
+	byBottleneck := i.routes[route]
+	if byBottleneck == nil {
+		byBottleneck = make(map[string]*runs)
+		i.routes[route] = byBottleneck
 	}
-	r := i.routes[route]
+	r := byBottleneck[t.Bottleneck]
 	if r == nil {
 		r = &runs{}
-		i.routes[route] = r
+		byBottleneck[t.Bottleneck] = r
 	}
 	r.n++
 	r.refused += refused
+	r.excess += excess
 	return func() {
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		r.n--
 		r.refused -= refused
-		if r.n == 0 {
+		r.excess -= excess
+		if r.n > 0 {
+			return
+		}
+		if delete(byBottleneck, t.Bottleneck); len(byBottleneck) == 0 {
 			delete(i.routes, route)
 		}
 	}
 }
 
-// RefusedFraction returns the fraction of the demand that was refused at the roots of
-// the call trees to which a call belongs. It returns false if no run in progress is known
-// to make such calls.
-func (i *Inheritor) RefusedFraction(call string) (fraction float64, ok bool) {
+// Inherit returns what applied at the roots of the call trees to which a call to a pool
+// belongs, with the bottleneck that most of them have. It returns false if no run in
+// progress is known to make such calls.
+func (i *Inheritor) Inherit(call, pool string) (t Tree, ok bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	calls, refused := 0.0, 0.0
-	for name, r := range i.routes {
-		for _, c := range i.Calls(name) {
-			if c.Name == call {
-				calls += c.PerRun * float64(r.n)
-				refused += c.PerRun * r.refused
+	calls, most := 0.0, 0.0
+	for name, byBottleneck := range i.routes {
+		perRun := i.perRun(name, call)
+		if perRun == 0 {
+			continue
+		}
+		for bottleneck, r := range byBottleneck {
+			n := perRun * float64(r.n)
+			calls += n
+			if bottleneck == pool {
+				t.Refused += perRun * r.excess
+			} else {
+				t.Refused += perRun * r.refused
+			}
+			if n > most {
+				most, t.Bottleneck, t.Excess = n, bottleneck, max(0, r.excess/float64(r.n))
 			}
 		}
 	}
 	if calls == 0 {
-		return 0, false
+		return Tree{}, false
+	}
+	t.Refused = max(0, t.Refused/calls)
+	return t, true
+}
+
+// perRun returns the estimated calls of a kind for each run of a route.
+func (i *Inheritor) perRun(route, call string) float64 {
+	for _, c := range i.Calls(route) {
+		if c.Name == call {
+			return c.PerRun
+		}
 	}
-	return max(0, refused/calls), true
+	return 0
 }
--- a/apricotd/internal/request/inheritor/inheritor_test.go
+++ b/apricotd/internal/request/inheritor/inheritor_test.go
@@ -39,7 +39,7 @@
 	run struct {
 		kind      *kind
 		root, mid int
-		refused   float64
+		tree      Tree
 		left      int // calls
 		end       func()
 	}
@@ -88,18 +88,46 @@
 // Guards against a peer that states an impossible fraction: it outlasted its runs.
 func TestImpossibleFractionsAreBounded(t *testing.T) {
 	i := &Inheritor{Calls: func(string) []correlator.Call { return []correlator.Call{{Name: "read", PerRun: 2}} }}
-	endUsual := i.Begin("order", 0.4)
+	endUsual := i.Begin("order", Tree{Excess: 0.4, Bottleneck: "stock"})
 	defer endUsual()
 	for _, stated := range []float64{math.MaxFloat64, 1e18, -math.MaxFloat64} {
-		end := []func(){i.Begin("order", stated), i.Begin("order", stated)}
-		if got, ok := i.RefusedFraction("read"); !ok || got < 0 || got > 1 {
-			t.Errorf("fraction while two runs state %v: got %v, %v, want 0 to 1", stated, got, ok)
+		impossible := Tree{Refused: stated, Excess: stated, Bottleneck: "stock"}
+		end := []func(){i.Begin("order", impossible), i.Begin("order", impossible)}
+		if got, ok := i.Inherit("read", "stock"); !ok || got.Refused < 0 || got.Refused > 1 || got.Excess < 0 || got.Excess > 1 {
+			t.Errorf("while two runs state %v: got %v, %v, want fractions from 0 to 1", stated, got, ok)
 		}
 		for _, e := range end {
 			e()
 		}
-		if got, ok := i.RefusedFraction("read"); !ok || math.Abs(got-0.4) > 1e-9 {
-			t.Errorf("fraction after two runs that stated %v: got %v, %v, want 0.4", stated, got, ok)
+		if got, ok := i.Inherit("read", "stock"); !ok || math.Abs(got.Refused-0.4) > 1e-9 || math.Abs(got.Excess-0.4) > 1e-9 {
+			t.Errorf("after two runs that stated %v: got %v, %v, want 0.4", stated, got, ok)
+		}
+	}
+}
+
+// Guards against a pool with room that takes its demand for several times too high, because
+// requests of its route state the excess of a deeper pool although all refusals there fall
+// on others.
+// Load: urgent trees pass a pool to one that is short of room, where less urgent direct
+// requests are refused.
+func TestOnlyTheBottleneckCountsItsExcess(t *testing.T) {
+	i := &Inheritor{Calls: func(string) []correlator.Call {
+		return []correlator.Call{{Name: "read", PerRun: 4}, {Name: "price", PerRun: 1}}
+	}}
+	if _, ok := i.Inherit("read", "stock"); ok {
+		t.Error("a call without any run has inherited")
+	}
+	for range 3 {
+		defer i.Begin("order", Tree{Excess: 0.7, Bottleneck: "stock"})()
+	}
+	defer i.Begin("search", Tree{Refused: 0.4})()
+	for _, c := range []struct {
+		call, pool string
+		want       float64
+	}{{"read", "stock", 0.625}, {"price", "prices", 0.1}} {
+		got, ok := i.Inherit(c.call, c.pool)
+		if !ok || math.Abs(got.Refused-c.want) > 1e-9 || got.Bottleneck != "stock" || math.Abs(got.Excess-0.7) > 1e-9 {
+			t.Errorf("call %s to pool %s: got %+v, %v, want %.3f refused and the excess of stock", c.call, c.pool, got, ok, c.want)
 		}
 	}
 }
@@ -159,23 +187,24 @@
 		}
 		return
 	}
-	r := &run{kind: k, root: root, mid: rand.N(mids), refused: fraction, left: max(1, k.calls)}
-	if m.inherit {
-		r.refused = max(0, overload.Excess)
+	r := &run{kind: k, root: root, mid: rand.N(mids), left: max(1, k.calls)}
+	r.tree = Tree{Refused: fraction, Excess: max(0, overload.Excess), Bottleneck: "stock"}
+	if m.inherit && k.calls == 0 {
+		r.tree.Refused = r.tree.Excess
 	}
 	if k.calls > 0 {
-		r.end = m.inheritors[r.mid].Begin(k.name, r.refused)
+		r.end = m.inheritors[r.mid].Begin(k.name, r.tree)
 	}
 	m.call(r)
 }
 
 // call plays the next call of a run, or the run itself if it needs none.
 func (m *chain) call(r *run) {
-	refused := r.refused
+	refused := r.tree.Refused
 	if r.kind.calls > 0 {
 		refused = max(0, m.mids[r.mid].Estimate("read").Excess)
-		if inherited, ok := m.inheritors[r.mid].RefusedFraction("read"); ok && m.inherit {
-			refused = inherited
+		if tree, ok := m.inheritors[r.mid].Inherit("read", "stock"); ok && m.inherit {
+			refused = tree.Refused
 		}
 	}
 	accepted := m.queue < slots+maxQueue
--- a/apricotd/internal/request/invoker/invoker.go
+++ b/apricotd/internal/request/invoker/invoker.go
@@ -290,7 +290,9 @@
 	running, _ := i.Admitter.Load()
 	defer i.Correlator.Begin(run.Route)()
 	defer i.Ranker.Begin(run.Route, int(run.Rank))()
-	defer i.Inheritor.Begin(run.Route, run.Held)()
+	if run.TreeExcess != nil {
+		defer i.Inheritor.Begin(run.Route, inheritor.Tree{Refused: run.Held, Excess: float64(run.GetTreeExcess()), Bottleneck: run.TreeBottleneck})()
+	}
 	endForecast := i.Forecaster.Begin(run.Route)
 	result = i.invoke(ctx, run, deadline)
 	answered = result.GetAnswer() != nil
--- a/apricotd/internal/request/proxier/attempts.go
+++ b/apricotd/internal/request/proxier/attempts.go
@@ -200,9 +200,13 @@
 		PatienceMs:  converter.Uint32(rq.maxQueueWait(left).Milliseconds()),
 		Route:       rq.route.Name,
 		Preference:  converter.Uint32(rq.preference),
-		Held:        rq.refusedAtRoot,
+		Held:        rq.tree.Refused,
 		Repeat:      rq.repeatProbability,
 	}
+	if rq.isTreeKnown {
+		excess := float32(rq.tree.Excess)
+		run.TreeExcess, run.TreeBottleneck = &excess, rq.tree.Bottleneck
+	}
 	if rq.arrivals > 0 {
 		run.Repeat = 1
 	}
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -160,8 +160,9 @@
 		organisation      *resolver.Organisation
 		version           uint64
 		rank              int
-		preference        int           // order within the rank, by organisation
-		refusedAtRoot     float64       // fraction of the demand on its bottleneck that was refused when its tree was admitted
+		preference        int            // order within the rank, by organisation
+		tree              inheritor.Tree // what applied when the call tree was admitted
+		isTreeKnown       bool
 		stated            time.Duration // how long the caller will wait, as it states
 		deadline          time.Time
 		fields            []*linkwire.Field
@@ -307,18 +308,23 @@
 		if rq.hasTreeRank {
 			p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_calls_ranked_total{rank="%d"}`, rq.rank)).Inc()
 		}
-		refused, ok := p.Inheritor.RefusedFraction(rq.route.Name)
-		if !ok {
-			refused = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
+		rq.tree, rq.isTreeKnown = p.Inheritor.Inherit(rq.route.Name, rq.pool)
+		if !rq.isTreeKnown {
+			rq.tree.Refused = max(0, p.Throttler.Estimate(rq.route.Name).Excess)
 		}
-		rq.refusedAtRoot = refused
 		return nil
 	}
 	fraction, overload := p.Throttler.ThrottleFraction(rq.route.Name, rq.rank)
 	if overload.Bottleneck != "" {
 		p.Postponer.ObserveExcess(rq.route.Name, overload.Excess)
 	}
-	rq.refusedAtRoot = max(0, overload.Excess)
+	rq.tree, rq.isTreeKnown = inheritor.Tree{Refused: fraction}, true
+	if overload.Excess > 0 {
+		rq.tree.Excess, rq.tree.Bottleneck = overload.Excess, overload.Bottleneck
+	}
+	if rq.tree.Bottleneck == rq.pool {
+		rq.tree.Refused = rq.tree.Excess
+	}
 	if tables.HasRanks() && len(p.Throttler.OtherPools(rq.route.Name)) > 0 {
 		p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_shared_pool_requests_total{route=%q}`, rq.route.Name)).Inc()
 	}
