Correlator: calls of one kind for each run, without a list of all kinds

Ranker and inheritor each searched the list of all calls of each running route for one kind, for every call of the backend server; Calls builds that list anew each time. PerRun looks it up. The threshold below which a route counts as not making a call stood in ranker and proxier; it is correlator.MinPerRun now.

--- a/apricotd/internal/process/correlator/correlator.go
+++ b/apricotd/internal/process/correlator/correlator.go
@@ -40,6 +40,9 @@
 	estimateInterval = 500 * time.Millisecond
 	// initialRate is where the first estimate starts, in calls per second.
 	initialRate = 1.0
+	// MinPerRun is the estimated number of calls for each run below which a route is
+	// assumed not to make the call.
+	MinPerRun = 0.15
 )
 
 type (
@@ -137,10 +140,7 @@
 	co.accumulateExposure(now)
 	var out []Call
 	for name, c := range co.calls {
-		if now.Sub(c.estimatedAt) > estimateInterval {
-			c.estimatedAt = now
-			c.estimate(co.snapshot())
-		}
+		co.refresh(c, now)
 		if i < len(c.perRun) {
 			out = append(out, Call{Name: name, PerRun: c.perRun[i]})
 		}
@@ -148,6 +148,33 @@
 	return out
 }
 
+// PerRun returns the estimated number of calls of one kind for each request of a route, as
+// Calls does; 0 if nothing is known.
+func (co *Correlator) PerRun(routeName, callName string) float64 {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	i, ok := co.routeIndex[routeName]
+	c := co.calls[callName]
+	if !ok || c == nil {
+		return 0
+	}
+	now := time.Now()
+	co.accumulateExposure(now)
+	co.refresh(c, now)
+	if i >= len(c.perRun) {
+		return 0
+	}
+	return c.perRun[i]
+}
+
+// refresh estimates the calls of one kind anew if that is due. co.mu must be held.
+func (co *Correlator) refresh(c *call, now time.Time) {
+	if now.Sub(c.estimatedAt) > estimateInterval {
+		c.estimatedAt = now
+		c.estimate(co.snapshot())
+	}
+}
+
 func (co *Correlator) snapshot() sample {
 	s := sample{
 		running:  make([]int, len(co.routes)),
--- a/apricotd/internal/request/inheritor/inheritor.go
+++ b/apricotd/internal/request/inheritor/inheritor.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	i := &inheritor.Inheritor{Calls: c.Calls}
+//	i := &inheritor.Inheritor{PerRun: c.PerRun}
 //	end := i.Begin("order", inheritor.Tree{Refused: 0.1, Excess: 0.4, Bottleneck: "stock"}) // a run
 //	tree, ok := i.Inherit("read", "stock") // of a call to a pool
 //	end()
@@ -20,11 +20,7 @@
 // Inherit iterates over the routes that run at this moment.
 package inheritor
 
-import (
-	"sync"
-
-	"apricotrudder.dev/apricotd/internal/process/correlator"
-)
+import "sync"
 
 type (
 	// A Tree is what applied at the root of a call tree when it was admitted.
@@ -40,8 +36,9 @@
 	// An Inheritor observes one backend server. Its exported field must be set before
 	// use.
 	Inheritor struct {
-		// Calls returns the estimated calls of a route.
-		Calls func(route string) []correlator.Call
+		// PerRun returns the estimated number of calls of one kind for each run of a
+		// route.
+		PerRun func(route, call string) float64
 
 		mu     sync.Mutex
 		routes map[string]map[string]*runs // by route and bottleneck; only those that run
@@ -100,7 +97,7 @@
 	defer i.mu.Unlock()
 	calls, most := 0.0, 0.0
 	for name, byBottleneck := range i.routes {
-		perRun := i.perRun(name, call)
+		perRun := i.PerRun(name, call)
 		if perRun == 0 {
 			continue
 		}
@@ -123,13 +120,3 @@
 	t.Refused = max(0, t.Refused/calls)
 	return t, true
 }
-
-// perRun returns the estimated calls of a kind for each run of a route.
-func (i *Inheritor) perRun(route, call string) float64 {
-	for _, c := range i.Calls(route) {
-		if c.Name == call {
-			return c.PerRun
-		}
-	}
-	return 0
-}
--- a/apricotd/internal/request/inheritor/inheritor_test.go
+++ b/apricotd/internal/request/inheritor/inheritor_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"apricotrudder.dev/apricotd/internal/process/correlator"
 	"apricotrudder.dev/apricotd/internal/process/estimator"
 	"apricotrudder.dev/apricotd/internal/process/throttler"
 )
@@ -87,7 +86,7 @@
 
 // Guards against a peer that states an impossible fraction: it outlasted its runs.
 func TestImpossibleFractionsAreBounded(t *testing.T) {
-	i := &Inheritor{Calls: func(string) []correlator.Call { return []correlator.Call{{Name: "read", PerRun: 2}} }}
+	i := &Inheritor{PerRun: func(string, string) float64 { return 2 }}
 	endUsual := i.Begin("order", Tree{Excess: 0.4, Bottleneck: "stock"})
 	defer endUsual()
 	for _, stated := range []float64{math.MaxFloat64, 1e18, -math.MaxFloat64} {
@@ -111,8 +110,8 @@
 // Load: urgent trees pass a pool to one that is short of room, where less urgent direct
 // requests are refused.
 func TestOnlyTheBottleneckCountsItsExcess(t *testing.T) {
-	i := &Inheritor{Calls: func(string) []correlator.Call {
-		return []correlator.Call{{Name: "read", PerRun: 4}, {Name: "price", PerRun: 1}}
+	i := &Inheritor{PerRun: func(_, call string) float64 {
+		return map[string]float64{"read": 4, "price": 1}[call]
 	}}
 	if _, ok := i.Inherit("read", "stock"); ok {
 		t.Error("a call without any run has inherited")
@@ -138,9 +137,7 @@
 		return estimator.Load{Running: int(min(slots, m.queue)), Waiting: int(max(0, m.queue-slots)), Slots: slots, MeanServiceTime: serviceTime}
 	}}
 	for i := range m.inheritors {
-		m.inheritors[i] = &Inheritor{Calls: func(route string) []correlator.Call {
-			return []correlator.Call{{Name: "read", PerRun: 4}}
-		}}
+		m.inheritors[i] = &Inheritor{PerRun: func(string, string) float64 { return 4 }}
 	}
 	kinds := []*kind{{"grant", 0, 4, 60}, {"search", 1, 4, 60}, {"check", 2, 0, 200}}
 	for ; m.now < int(duration/step); m.now++ {
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -79,9 +79,6 @@
 	// would otherwise miss the route's latency target.
 	throttledRetryAfter    = 600 * time.Millisecond
 	minThrottledRetryAfter = 100 * time.Millisecond
-	// minCallsPerRun is the estimated number of calls for each request below
-	// which a route is assumed not to make the call.
-	minCallsPerRun = 0.15
 	// maxFailureFraction bounds the fraction of recent requests that a server
 	// failed or rejected. No call is retried on a server above it.
 	maxFailureFraction = 0.25
@@ -406,7 +403,7 @@
 func (p *Proxier) Downstream(route string) throttler.Overload {
 	greatest := throttler.Overload{Excess: math.Inf(-1)}
 	for _, call := range p.Correlator.Calls(route) {
-		if call.PerRun < minCallsPerRun {
+		if call.PerRun < correlator.MinPerRun {
 			continue
 		}
 		overload := p.Throttler.Estimate(call.Name)
--- a/apricotd/internal/request/ranker/ranker.go
+++ b/apricotd/internal/request/ranker/ranker.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	r := &ranker.Ranker{Calls: c.Calls}
+//	r := &ranker.Ranker{PerRun: c.PerRun}
 //	end := r.Begin("order", 1) // a run of this rank
 //	rank, ok := r.Rank("stock") // of a call
 //	end()
@@ -25,17 +25,14 @@
 const (
 	// maxRank bounds the ranks that are told apart. Higher ones count as this one.
 	maxRank = 15
-	// minCallsPerRun is the estimated number of calls for each run below which a route
-	// is assumed not to make the call.
-	minCallsPerRun = 0.15
 	// minFraction is the fraction of the runs from which a rank counts.
 	minFraction = 0.1
 )
 
 // A Ranker observes one backend server. Its exported field must be set before use.
 type Ranker struct {
-	// Calls returns the estimated calls of a route.
-	Calls func(route string) []correlator.Call
+	// PerRun returns the estimated number of calls of one kind for each run of a route.
+	PerRun func(route, call string) float64
 
 	mu     sync.Mutex
 	routes map[string]*[maxRank + 1]int // runs in progress by rank; only routes that run
@@ -72,7 +69,7 @@
 	var runs [maxRank + 1]int
 	total := 0
 	for route, byRank := range r.routes {
-		if !r.makesCall(route, call) {
+		if r.PerRun(route, call) < correlator.MinPerRun {
 			continue
 		}
 		for i, n := range byRank {
@@ -87,12 +84,3 @@
 	}
 	return 0, false
 }
-
-func (r *Ranker) makesCall(route, call string) bool {
-	for _, c := range r.Calls(route) {
-		if c.Name == call && c.PerRun >= minCallsPerRun {
-			return true
-		}
-	}
-	return false
-}
--- a/apricotd/internal/request/ranker/ranker_test.go
+++ b/apricotd/internal/request/ranker/ranker_test.go
@@ -1,22 +1,12 @@
 package ranker
 
-import (
-	"testing"
-
-	"apricotrudder.dev/apricotd/internal/process/correlator"
-)
+import "testing"
 
 // Guards against calls that precede requests of callers who are more urgent than the
 // root of their tree, and against calls of an urgent tree that yield.
 func TestRankOfCall(t *testing.T) {
-	r := &Ranker{Calls: func(route string) []correlator.Call {
-		switch route {
-		case "search", "order":
-			return []correlator.Call{{Name: "stock", PerRun: 4}}
-		case "payment":
-			return []correlator.Call{{Name: "stock", PerRun: 0.05}} // wrongly attributed
-		}
-		return nil
+	r := &Ranker{PerRun: func(route, call string) float64 {
+		return map[string]float64{"search": 4, "order": 4, "payment": 0.05}[route] // payments by a wrong attribution
 	}}
 	check := func(state string, wantRank int, wantOK bool) {
 		t.Helper()
--- a/apricotd/mesher/build.go
+++ b/apricotd/mesher/build.go
@@ -85,8 +85,8 @@
 	}
 	n.estimator = &estimator.Estimator{Load: n.localLoad}
 	n.correlator = &correlator.Correlator{}
-	n.ranker = &ranker.Ranker{Calls: n.correlator.Calls}
-	n.inheritor = &inheritor.Inheritor{Calls: n.correlator.Calls}
+	n.ranker = &ranker.Ranker{PerRun: n.correlator.PerRun}
+	n.inheritor = &inheritor.Inheritor{PerRun: n.correlator.PerRun}
 	n.forecaster = &forecaster.Forecaster{}
 	n.quarantine = &quarantiner.Quarantiner{}
 	n.warmer = &warmer.Warmer{Overshoot: s.Backend.ColdOvershoot, Slack: s.Backend.ColdSlack, Log: n.Log}
