--- a/apricotd/internal/process/admitter/pacer.go
+++ b/apricotd/internal/process/admitter/pacer.go
@@ -11,9 +11,9 @@
 	burstTime = 250 * time.Millisecond
 	// maxTokenWait bounds the computed waits, which are infinite at a rate of 0.
 	maxTokenWait = time.Hour
-	// tokenTolerance is the fraction of a token that may be missing, so that
+	// TokenTolerance is the fraction of a token that may be missing, so that
 	// rounding does not delay a request whose time has come.
-	tokenTolerance = 1e-6
+	TokenTolerance = 1e-6
 )
 
 // A pacer is the token bucket of a limited rate. It is empty when the limit comes
@@ -52,14 +52,19 @@
 		return 0
 	}
 	p.refill(now)
-	missing := float64(n) - p.tokens
-	if missing <= tokenTolerance {
+	return UntilTokens(float64(n)-p.tokens, p.rate)
+}
+
+// UntilTokens returns the time in which a token bucket gets the tokens that it lacks, at a
+// rate in tokens per second.
+func UntilTokens(missing, rate float64) time.Duration {
+	if missing <= TokenTolerance {
 		return 0
 	}
-	if missing >= p.rate*maxTokenWait.Seconds() {
+	if missing >= rate*maxTokenWait.Seconds() {
 		return maxTokenWait
 	}
-	return max(1, time.Duration(missing/p.rate*float64(time.Second)))
+	return max(1, time.Duration(missing/rate*float64(time.Second)))
 }
 
 // take uses the token of a request that starts.
@@ -76,7 +81,7 @@
 func (p *pacer) utilisation(now time.Time, waiting int) float64 {
 	p.refill(now)
 	used := p.capacity() - p.tokens + float64(waiting)
-	if p.tokens < minTokens-tokenTolerance {
+	if p.tokens < minTokens-TokenTolerance {
 		return max(1, used/p.capacity())
 	}
 	return used / p.capacity()
--- a/apricotd/mesher/internal/warmer/warmer.go
+++ b/apricotd/mesher/internal/warmer/warmer.go
@@ -31,6 +31,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"apricotrudder.dev/apricotd/internal/process/admitter"
 	"apricotrudder.dev/wire/linkwire"
 )
 
@@ -65,11 +66,6 @@
 	unknownProbeGap = 200 * time.Millisecond
 	// maxLeft bounds the cold time that a server may state.
 	maxLeft = 24 * time.Hour
-	// maxWait bounds the computed waits.
-	maxWait = time.Hour
-	// tokenTolerance is the fraction of a token that may be missing, so that rounding
-	// does not delay a request whose time has come.
-	tokenTolerance = 1e-6
 )
 
 type (
@@ -304,14 +300,7 @@
 		return 0
 	}
 	w.refill(now)
-	missing := float64(n) - w.tokens
-	if missing <= tokenTolerance {
-		return 0
-	}
-	if missing >= w.rate()*maxWait.Seconds() {
-		return maxWait
-	}
-	return max(1, time.Duration(missing/w.rate()*float64(time.Second)))
+	return admitter.UntilTokens(float64(n)-w.tokens, w.rate())
 }
 
 // Take takes a token for a request.
@@ -350,7 +339,7 @@
 	w.refill(now)
 	capacity := w.burst()
 	used := (capacity - w.tokens + float64(waiting)) / capacity
-	if w.tokens < 1-tokenTolerance {
+	if w.tokens < 1-admitter.TokenTolerance {
 		return max(1, used)
 	}
 	return used
