--- a/apricotd/internal/process/picker/completion.go
+++ b/apricotd/internal/process/picker/completion.go
@@ -99,7 +99,7 @@
 }
 
 func (p *Picker) isCold(s *lister.Server, now time.Time) bool {
-	return now.Before(s.ColdUntil) || p.ColdRate != nil && p.ColdRate(s) > 0
+	return now.Before(s.ColdUntil) || p.hasColdRate(s)
 }
 
 // evaluate sets p.candidates to the eligible servers and p.scores to their predictions.
@@ -107,7 +107,7 @@
 	p.candidates, p.scores = p.candidates[:0], p.scores[:0]
 	pool := scorer.Pool{}
 	for _, s := range servers {
-		if s.State != lister.Ready || tried[s.ID] || !p.isEligible(s, rq, now) {
+		if !p.maySelect(s, tried, rq, now) {
 			continue
 		}
 		p.candidates = append(p.candidates, candidate{s, p.view(s, now)})
@@ -145,7 +145,7 @@
 	if r.rateUtilisation > 0 {
 		v.Occupied = max(v.Occupied, r.rateUtilisation*slots)
 	}
-	if p.ColdRate != nil && p.ColdRate(s) > 0 {
+	if p.hasColdRate(s) {
 		v.Occupied = max(v.Occupied, coldUtilisation*slots)
 	}
 	if now.Before(r.fullUntil) {
--- a/apricotd/internal/process/picker/picker.go
+++ b/apricotd/internal/process/picker/picker.go
@@ -263,7 +263,7 @@
 		lowest[d] = math.Inf(1)
 	}
 	for _, s := range servers {
-		if s.State != lister.Ready || tried[s.ID] || !p.isEligible(s, rq, now) {
+		if !p.maySelect(s, tried, rq, now) {
 			continue
 		}
 		d := p.distance(s)
@@ -486,6 +486,12 @@
 	return rq.Regions == nil || slices.Contains(rq.Regions, region)
 }
 
+// maySelect reports whether a server is listed as ready, has not been tried and is
+// eligible.
+func (p *Picker) maySelect(s *lister.Server, tried map[string]bool, rq Request, now time.Time) bool {
+	return s.State == lister.Ready && !tried[s.ID] && p.isEligible(s, rq, now)
+}
+
 // isEligible reports whether a server is in a region and a data centre where the request
 // may run, and neither skipped after an earlier result, nor announced as leaving, nor on
 // a silent node.
@@ -538,7 +544,7 @@
 	slots := usableSlots(s, r, now)
 	age := decayer.Factor(now.Sub(r.reportedAt), reportHalfLife)
 	utilisation := max(float64(r.load)*age/slots, float64(r.inFlight)/slots, r.rateUtilisation*age)
-	if p.ColdRate != nil && p.ColdRate(s) > 0 {
+	if p.hasColdRate(s) {
 		utilisation = coldUtilisation + (1-coldUtilisation)*utilisation
 	}
 	utilisation += failurePenalty * r.recentFailureRate(now)
@@ -548,6 +554,9 @@
 	return utilisation
 }
 
+// hasColdRate reports whether a server is cold and limits its rate.
+func (p *Picker) hasColdRate(s *lister.Server) bool { return p.ColdRate != nil && p.ColdRate(s) > 0 }
+
 // usableSlots returns how many requests a server can run at once, as it was last
 // reported or else as it is listed.
 func usableSlots(s *lister.Server, r *serverRecord, now time.Time) float64 {
--- a/apricotd/internal/process/picker/sound.go
+++ b/apricotd/internal/process/picker/sound.go
@@ -33,7 +33,7 @@
 	p.sound = p.sound[:0]
 	eligible, sound := 0, 0
 	for _, s := range servers {
-		if s.State != lister.Ready || tried[s.ID] || !p.isEligible(s, rq, now) {
+		if !p.maySelect(s, tried, rq, now) {
 			continue
 		}
 		eligible++
