Throttler: one record for each pool of a route; no list of pools for each request

What reports said of a pool stood in two maps with the same keys. And each request of a caller built and sorted the list of its route's other pools, to know whether there is any, for a counter.

--- a/apricotd/internal/process/throttler/throttler.go
+++ b/apricotd/internal/process/throttler/throttler.go
@@ -24,6 +24,7 @@
 package throttler
 
 import (
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -91,17 +92,22 @@
 	}
 
 	route struct {
-		reports     map[string]report    // by server
-		bottleneck  string               // from the newest report
-		namedAt     map[string]time.Time // when a report last named a pool, by pool
-		perRun      map[string]float64   // mean requests to a pool for each request, by pool
-		reportedAt  time.Time            // of the newest report
-		reporter    string               // of the newest report
+		reports     map[string]report // by server
+		bottleneck  string            // from the newest report
+		pools       map[string]*pool  // those that reports have named
+		reportedAt  time.Time         // of the newest report
+		reporter    string            // of the newest report
 		rank        int
 		demand      float64 // decaying count of callers' requests
 		requestedAt time.Time
 	}
 
+	// A pool is what is known of a pool to which the call trees of a route lead.
+	pool struct {
+		namedAt        time.Time // by the newest report that names it
+		requestsPerRun float64   // mean
+	}
+
 	report struct {
 		Overload
 		receivedAt time.Time
@@ -124,12 +130,13 @@
 	r := t.getOrAdd(name)
 	r.reports[server] = report{Overload: o, receivedAt: time.Now()}
 	r.bottleneck, r.reporter, r.reportedAt = o.Bottleneck, server, time.Now()
-	r.namedAt[o.Bottleneck] = r.reportedAt
-	perRun, ok := r.perRun[o.Bottleneck]
-	if !ok {
-		perRun = o.Weight()
+	known := r.pools[o.Bottleneck]
+	if known == nil {
+		known = &pool{requestsPerRun: o.Weight()}
+		r.pools[o.Bottleneck] = known
 	}
-	r.perRun[o.Bottleneck] = perRun + (o.Weight()-perRun)*perRunSmoothing
+	known.namedAt = r.reportedAt
+	known.requestsPerRun += (o.Weight() - known.requestsPerRun) * perRunSmoothing
 }
 
 // ForgetCold drops the reports of a shortage that ends because servers of the pool have
@@ -193,19 +200,32 @@
 func (t *Throttler) OtherPools(name string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.routes[name]
-	if r == nil {
-		return nil
+	return slices.Sorted(t.otherPools(name))
+}
+
+// HasOtherPools reports whether OtherPools returns any.
+func (t *Throttler) HasOtherPools(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for range t.otherPools(name) {
+		return true
 	}
-	var out []string
-	now := time.Now()
-	for pool := range r.namedAt {
-		if pool != r.bottleneck && t.countsTowards(r, pool, now) {
-			out = append(out, pool)
+	return false
+}
+
+func (t *Throttler) otherPools(name string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		r := t.routes[name]
+		if r == nil {
+			return
+		}
+		now := time.Now()
+		for pool := range r.pools {
+			if pool != r.bottleneck && t.countsTowards(r, pool, now) && !yield(pool) {
+				return
+			}
 		}
 	}
-	slices.Sort(out)
-	return out
 }
 
 // demandByRank sums the demand on a bottleneck of all routes whose call trees lead there,
@@ -262,7 +282,7 @@
 		if len(t.routes) >= evictionThreshold {
 			t.evictIdle(time.Now())
 		}
-		r = &route{reports: make(map[string]report), namedAt: make(map[string]time.Time), perRun: make(map[string]float64)}
+		r = &route{reports: make(map[string]report), pools: make(map[string]*pool)}
 		t.routes[name] = r
 	}
 	return r
@@ -287,22 +307,21 @@
 
 // requestsPerRun returns the mean number of requests to a pool that one request of the
 // route causes, 1 if it is unknown.
-func (r *route) requestsPerRun(pool string) float64 {
-	if n := r.perRun[pool]; n > 0 {
-		return n
+func (r *route) requestsPerRun(name string) float64 {
+	if known := r.pools[name]; known != nil {
+		return known.requestsPerRun
 	}
 	return 1
 }
 
 // leadsTo reports whether a recent report on the route names the pool.
-func (r *route) leadsTo(pool string, now time.Time) bool {
-	at, ok := r.namedAt[pool]
-	if ok && now.Sub(at) > expireAfter && pool != r.bottleneck {
-		delete(r.namedAt, pool)
-		delete(r.perRun, pool)
+func (r *route) leadsTo(name string, now time.Time) bool {
+	known := r.pools[name]
+	if known != nil && now.Sub(known.namedAt) > expireAfter && name != r.bottleneck {
+		delete(r.pools, name)
 		return false
 	}
-	return ok
+	return known != nil
 }
 
 // meanOverload weights the servers' reports by age and demand, so that one
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -322,7 +322,7 @@
 	if rq.tree.Bottleneck == rq.pool {
 		rq.tree.Refused = rq.tree.Excess
 	}
-	if tables.HasRanks() && len(p.Throttler.OtherPools(rq.route.Name)) > 0 {
+	if tables.HasRanks() && p.Throttler.HasOtherPools(rq.route.Name) {
 		p.Metrics.GetOrCreateCounter(fmt.Sprintf(`apricot_shared_pool_requests_total{route=%q}`, rq.route.Name)).Inc()
 	}
 	if rand.Float64() >= fraction {
