--- a/apricotd/internal/request/proxier/prepare.go
+++ b/apricotd/internal/request/proxier/prepare.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"apricotrudder.dev/apricotd/internal/connection/parser"
 	"apricotrudder.dev/apricotd/internal/process/picker"
 	"apricotrudder.dev/apricotd/version/lister"
 	"apricotrudder.dev/apricotd/version/resolver"
@@ -13,12 +14,17 @@
 
 // findRoute sets the route. It returns false if the tables have none.
 func (rq *request) findRoute(tables *resolver.Resolver) bool {
-	path, _, _ := strings.Cut(rq.Target, "?")
-	route, ok := tables.Route(rq.Host, path)
+	route, ok := routeOf(rq.Request.Request, tables)
 	rq.route = route
 	return ok
 }
 
+// routeOf returns the route of a request by its head.
+func routeOf(r *parser.Request, tables *resolver.Resolver) (*resolver.Route, bool) {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return tables.Route(r.Host, path)
+}
+
 // identify sets whether the request is a call, and its organisation, which find returns
 // by the key, if the route needs one. It returns false if the key is missing or unknown.
 func (rq *request) identify(tables *resolver.Resolver, hasKey bool, find func() (*resolver.Organisation, bool)) bool {
--- a/apricotd/internal/request/proxier/proxier.go
+++ b/apricotd/internal/request/proxier/proxier.go
@@ -21,7 +21,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -197,8 +196,7 @@
 	if tables == nil {
 		return false
 	}
-	path, _, _ := strings.Cut(r.Target, "?")
-	route, ok := tables.Route(r.Host, path)
+	route, ok := routeOf(r, tables)
 	return ok && (!route.Idempotent || route.Public && r.Fields.Get(p.Names.APIKey) == "")
 }
 
