--- a/apricotd/mesher/cold_test.go
+++ b/apricotd/mesher/cold_test.go
@@ -46,17 +46,22 @@
 	}
 	time.Sleep(downtime)
 	for _, name := range names {
-		m := f.vms[name]
-		m.worker.mu.Lock()
-		m.worker.id += "x"
-		m.worker.coldUntil = time.Now().Add(coldStart)
-		m.worker.mu.Unlock()
-		m.startedAt, m.sequence = time.Now(), 0
-		m.worker.start(f.t, f.network, m.worker.address)
-		f.publishServer(name, lister.Ready)
+		f.startCold(name)
 	}
 }
 
+// startCold starts the backend server of a VM cold, with a new id and entry.
+func (f *fleet) startCold(name string) {
+	m := f.vms[name]
+	m.worker.mu.Lock()
+	m.worker.id += "x"
+	m.worker.coldUntil = time.Now().Add(coldStart)
+	m.worker.mu.Unlock()
+	m.startedAt, m.sequence = time.Now(), 0
+	m.worker.start(f.t, f.network, m.worker.address)
+	f.publishServer(name, lister.Ready)
+}
+
 // checkCold fails the test if a server got more in a second while it was cold than its
 // bound, or nothing at all.
 func (f *fleet) checkCold(names ...string) {
@@ -221,14 +226,8 @@
 		<-m.done
 	}
 	time.Sleep(downtime)
-	for name, m := range f.vms {
-		m.worker.mu.Lock()
-		m.worker.id += "x"
-		m.worker.coldUntil = time.Now().Add(coldStart)
-		m.worker.mu.Unlock()
-		m.startedAt, m.sequence = time.Now(), 0
-		m.worker.start(f.t, f.network, m.worker.address)
-		f.publishServer(name, lister.Ready)
+	for name := range f.vms {
+		f.startCold(name)
 		f.startNode(name)
 	}
 }
