--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -8,11 +8,11 @@
 
 var cases = map[string]func(recordPath string) (broken string, err error){
 	"drain":   playDrain,
-	"quota":   playQuota,
 	"caller":  playCaller,
 	"config":  playConfig,
 	"late":    playLate,
 	"tenants": playTenants,
+	"turn":    playTurn,
 }
 
 const (
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -314,7 +314,8 @@
 
 	mu   sync.Mutex
 	runs []run
-	sent map[string]sent // by id
+	sent map[string]sent      // by id
+	ends map[string]time.Time // of work, by id; nil if that is not recorded
 }
 
 type sent struct {
@@ -474,13 +475,24 @@
 	f.mu.Unlock()
 	select {
 	case <-time.After(i.work):
+		f.endWork(id)
 	case <-r.Context().Done():
+		f.endWork(id)
 		return
 	}
 	w.Header().Set("X-Apricotrudder-Server-Stamp", "stamp."+i.id+"."+id)
 	_, _ = io.WriteString(w, "ran "+id)
 }
 
+// endWork records that an instance is no longer at work on a request.
+func (f *fleet) endWork(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ends != nil {
+		f.ends[id] = time.Now()
+	}
+}
+
 // writeSettings renders the template of the deploy file for the machine.
 func (m *machine) writeSettings() error {
 	var zones strings.Builder
