--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Plays the case "config" and writes record.txt. Exit code: 1 if the rule was broken, 0 if it
+# Plays the case "drain" and writes record.txt. Exit code: 1 if the rule was broken, 0 if it
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/platform ] && [ -x target/standin-2 ] || { echo "build first: the build of deploy/system.toml, and review/build-2.sh"; exit 2; }
-exec target/standin-2 config review/7/record.txt
+exec target/standin-2 drain review/7/record.txt
