--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(c *trial) (isBroken bool, err error){
 	"quarantine": playQuarantine,
+	"weights":    playWeights,
 }
 
 // A trial is one play of a case.
