--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -109,11 +109,22 @@
 	return fmt.Sprintf("%s%04x%06x", prefix, f.lastID, rand.N(1<<24))
 }
 
-// newFleet starts the store. Each machine gets a loopback address of its own.
-func newFleet(program, dir string, out *os.File, services []string) (*fleet, error) {
+// newFleet starts the store. Each machine gets a loopback address of its own, in the first
+// of the networks that is free, or in one drawn at random if none is given.
+func newFleet(program, dir string, out *os.File, services []string, networks ...[2]int) (*fleet, error) {
 	f := &fleet{dir: dir, program: program, out: out, start: time.Now()}
-	net1, net2 := 20+rand.N(200), 1+rand.N(250)
-	ports, err := freePorts(fmt.Sprintf("127.%d.%d.1", net1, net2), 5)
+	if len(networks) == 0 {
+		networks = append(networks, [2]int{70 + rand.N(150), 1 + rand.N(250)})
+	}
+	var ports []int
+	var err error
+	net1, net2 := 0, 0
+	for _, n := range networks {
+		net1, net2 = n[0], n[1]
+		if ports, err = f.freePorts(net1, net2, len(services)); err == nil {
+			break
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -303,16 +314,30 @@
 	}
 }
 
-// freePorts returns ports that are free on an address.
-func freePorts(ip string, n int) ([]int, error) {
+// portsPerMachine is the number of ports of a machine.
+const portsPerMachine = 5
+
+// freePorts returns ports that are free on all machines of a network.
+func (f *fleet) freePorts(net1, net2, machines int) ([]int, error) {
 	var out []int
-	for len(out) < n {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			return nil, err
+	for tries := 0; len(out) < portsPerMachine; tries++ {
+		if tries > 20 {
+			return nil, fmt.Errorf("no free ports on 127.%d.%d.0", net1, net2)
+		}
+		if port := 20000 + rand.N(10000); isFree(port, net1, net2, machines) {
+			out = append(out, port)
 		}
-		defer l.Close()
-		out = append(out, l.Addr().(*net.TCPAddr).Port)
 	}
 	return out, nil
 }
+
+func isFree(port, net1, net2, machines int) bool {
+	for n := range machines {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:%d", net1, net2, n+1, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(c *trial) (isBroken bool, err error){
 	"quarantine": playQuarantine,
+	"spread":     playSpread,
 	"weights":    playWeights,
 }
 
