--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -36,7 +36,8 @@
 		program  string
 		store    *store
 		machines []*machine
-		crashes  bool // whether requests for crashPath crash instances
+		crashes  bool          // whether requests for crashPath crash instances
+		work     time.Duration // that a request takes
 
 		mu     sync.Mutex
 		out    *os.File
@@ -112,7 +113,7 @@
 // newFleet starts the store. Each machine gets a loopback address of its own, in the first
 // of the networks that is free, or in one drawn at random if none is given.
 func newFleet(program, dir string, out *os.File, services []string, networks ...[2]int) (*fleet, error) {
-	f := &fleet{dir: dir, program: program, out: out, start: time.Now()}
+	f := &fleet{dir: dir, program: program, out: out, start: time.Now(), work: workTime}
 	if len(networks) == 0 {
 		networks = append(networks, [2]int{70 + rand.N(150), 1 + rand.N(250)})
 	}
--- a/review/standin-3/instance.go
+++ b/review/standin-3/instance.go
@@ -154,7 +154,7 @@
 		return
 	}
 	select {
-	case <-time.After(workTime):
+	case <-time.After(i.fleet.work):
 	case <-r.Context().Done():
 		return
 	}
