--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -39,11 +39,12 @@
 		crashes  bool          // whether requests for crashPath crash instances
 		work     time.Duration // that a request takes
 
-		mu     sync.Mutex
-		out    *os.File
-		start  time.Time
-		lastID int
-		runs   []run
+		mu       sync.Mutex
+		out      *os.File
+		start    time.Time
+		lastID   int
+		runs     []run
+		statuses map[string]int // of the responses to background requests
 	}
 
 	run struct {
@@ -113,7 +114,7 @@
 // newFleet starts the store. Each machine gets a loopback address of its own, in the first
 // of the networks that is free, or in one drawn at random if none is given.
 func newFleet(program, dir string, out *os.File, services []string, networks ...[2]int) (*fleet, error) {
-	f := &fleet{dir: dir, program: program, out: out, start: time.Now(), work: workTime}
+	f := &fleet{dir: dir, program: program, out: out, start: time.Now(), work: workTime, statuses: make(map[string]int)}
 	if len(networks) == 0 {
 		networks = append(networks, [2]int{70 + rand.N(150), 1 + rand.N(250)})
 	}
@@ -306,11 +307,16 @@
 	return reply{status: response.StatusCode, body: strings.TrimSpace(string(body)), err: err}
 }
 
-// load sends background requests of clients on all machines until ctx ends.
-func (f *fleet) load(ctx context.Context, path string, perSecond float64) {
+// load sends background requests of clients on some machines until ctx ends.
+func (f *fleet) load(ctx context.Context, from []*machine, method, path string, perSecond float64) {
 	for ctx.Err() == nil {
-		m := f.machines[rand.N(len(f.machines))]
-		go m.send(http.MethodGet, path+fmt.Sprint(rand.N(1000)), f.newID("b-"), 5*time.Second)
+		m, attempt := from[rand.N(len(from))], f.newID("b-")
+		go func() {
+			r := m.send(method, path+attempt, attempt, 5*time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.statuses[attempt] = r.status
+		}()
 		time.Sleep(time.Duration(float64(time.Second) / perSecond))
 	}
 }
--- a/review/standin-3/quarantine.go
+++ b/review/standin-3/quarantine.go
@@ -14,6 +14,7 @@
 	resendEvery = 1500 * time.Millisecond
 	resends     = 4
 	maxRetries  = 3 // that may reach instances, as BUDGET says
+	orderWork   = 300 * time.Millisecond
 )
 
 // playQuarantine sends a request that crashes the instances which run it, as often as its
@@ -25,16 +26,23 @@
 	}
 	defer f.stopAll()
 	f.crashes = true
-	f.publish(7, map[string]any{"r-search": map[string]any{
-		"Host": host, "Prefix": "/search/", "Kind": "idempotent", "TimeoutS": 2, "TargetLatencyS": 1.5, "Priority": 1,
-		"Service": "search", "MaxAttempts": 2, "Public": false,
-	}}, []string{"search", "front"})
+	f.work = orderWork
+	f.publish(7, map[string]any{
+		"r-search": map[string]any{
+			"Host": host, "Prefix": "/search/", "Kind": "idempotent", "TimeoutS": 2, "TargetLatencyS": 1.5, "Priority": 1,
+			"Service": "search", "MaxAttempts": 2, "Public": false,
+		},
+		"r-order": map[string]any{
+			"Host": host, "Prefix": "/order/", "Kind": "non_idempotent", "TimeoutS": 2, "TargetLatencyS": 1.5, "Priority": 0,
+			"Service": "search", "MaxAttempts": 2, "Public": false,
+		},
+	}, []string{"search", "front"})
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go f.load(ctx, "/search/", 40)
+	go f.load(ctx, f.machines, http.MethodPost, "/order/", 40)
 	time.Sleep(contactTime + 2*time.Second)
 
 	sent, reached := 0, 0
@@ -56,6 +64,7 @@
 		return false, fmt.Errorf("the request has crashed %d instances, want 3", crashed)
 	}
 	f.record("the request has crashed the third instance")
+	lostBefore := f.lostOrders()
 	time.Sleep(contactTime)
 	for range rolls {
 		if err := f.rollNodes(c.trouble); err != nil {
@@ -69,6 +78,7 @@
 			time.Sleep(resendEvery)
 		}
 	}
+	f.record("orders of other clients that ran and were lost with an instance since then: %d", f.lostOrders()-lostBefore)
 	f.record("retries that reached instances after the third crash: %d, at most %d are allowed", reached, maxRetries)
 	return reached > maxRetries, nil
 }
@@ -95,3 +105,17 @@
 		return nil
 	}
 }
+
+// lostOrders returns the number of orders that instances began to run and whose clients
+// got no success.
+func (f *fleet) lostOrders() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.runs {
+		if status, isKnown := f.statuses[r.attempt]; isKnown && status != http.StatusOK {
+			n++
+		}
+	}
+	return n
+}
--- a/review/standin-3/spread.go
+++ b/review/standin-3/spread.go
@@ -31,7 +31,7 @@
 		return false, err
 	}
 	defer f.stopAll()
-	f.crashes = c.trouble
+	f.crashes, f.work = c.trouble, orderWork
 	routes := make(map[string]any)
 	for _, s := range names {
 		kind := "idempotent"
@@ -49,10 +49,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go f.load(ctx, "/catalogue/", loadPerS)
+	go f.load(ctx, f.machines, http.MethodGet, "/catalogue/", loadPerS)
+	go f.load(ctx, f.machines[:1], http.MethodPost, "/licensing/", loadPerS)
 	time.Sleep(contactTime + 2*time.Second)
 
-	reached, crashes := 0, 0
+	reached, crashes, lostBefore := 0, 0, 0
 	var third time.Time
 	for n := range spreadSends {
 		m := f.machines[n*5%len(f.machines)]
@@ -67,9 +68,11 @@
 		if crashes += runs; c.trouble && crashes >= 3 && third.IsZero() {
 			third = time.Now()
 			f.record("the request has crashed the third instance")
+			lostBefore = f.lostOrders()
 		}
 		time.Sleep(resendEvery)
 	}
+	f.record("orders of other clients that ran and were lost with an instance since then: %d", f.lostOrders()-lostBefore)
 	f.record("retries that reached instances later than %v after the third crash: %d, at most %d are allowed", contactTime, reached, maxRetries)
 	return reached > maxRetries, nil
 }
