--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 )
 
 var cases = map[string]func(c *trial) (isBroken bool, err error){
+	"foreign":    playForeign,
 	"pipeline":   playPipeline,
 	"quarantine": playQuarantine,
 	"spread":     playSpread,
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -11,7 +11,18 @@
 	"time"
 )
 
-const entryLifetime = 4500 * time.Millisecond // three heartbeats
+const (
+	entryLifetime = 4500 * time.Millisecond // three heartbeats
+	// A page has at most pageItems items and about pageBytes bytes.
+	pageItems = 500
+	pageBytes = 1 << 20
+	// answerTime is how long an answer takes, and linkRate the bytes that the store sends in
+	// a second, as on the sheet of the site.
+	answerTime = 4 * time.Millisecond
+	linkRate   = 125_000_000
+	// watchEvents is the greatest number of events in an answer to a watch.
+	watchEvents = 500
+)
 
 type (
 	// A store is a stand-in for the platform's metadata store: it can be read and watched.
@@ -122,9 +133,14 @@
 			}
 		}
 		slices.SortFunc(items, func(a, b *item) int { return strings.Compare(a.Key, b.Key) })
-		body, _ := json.Marshal(map[string]any{"items": items, "HasMore": false, "At": s.revision})
+		page, size := 0, 0
+		for page < len(items) && page < pageItems && (page == 0 || size+len(items[page].Value) <= pageBytes) {
+			size += len(items[page].Value)
+			page++
+		}
+		body, _ := json.Marshal(map[string]any{"items": items[:page], "HasMore": page < len(items), "At": s.revision})
 		s.mu.Unlock()
-		_, _ = w.Write(body)
+		answer(w, body)
 	case "/kv-watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		waitMs, _ := strconv.Atoi(q.Get("WaitMs"))
@@ -134,6 +150,9 @@
 			s.mu.Lock()
 			first, _ := slices.BinarySearch(s.revs, after+1)
 			events, at, changed := s.events[first:], s.revision, s.changed
+			if len(events) > watchEvents {
+				events, at = events[:watchEvents], s.revs[first+watchEvents-1]
+			}
 			s.mu.Unlock()
 			isDone := len(events) > 0
 			if !isDone {
@@ -149,10 +168,15 @@
 				events = []any{}
 			}
 			body, _ := json.Marshal(map[string]any{"events": events, "At": at})
-			_, _ = w.Write(body)
+			answer(w, body)
 			return
 		}
 	default:
 		http.NotFound(w, r)
 	}
 }
+
+func answer(w http.ResponseWriter, body []byte) {
+	time.Sleep(answerTime + time.Duration(len(body))*time.Second/linkRate)
+	_, _ = w.Write(body)
+}
